Add workspace, design page, settings loader and store client

The crates, the object kinds of the platform's store and the shared types are fixed first so that the parts can be written in parallel against them. Settings errors name file, line, field and what is allowed; four tests hold it.

--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,12 @@
+//! What the binaries share: settings files, the platform store's client and object kinds,
+//! the administration types, log set-up and the readiness line.
+
+pub mod admin;
+pub mod exit;
+pub mod logs;
+pub mod objects;
+pub mod ready;
+pub mod settings;
+pub mod settings_error;
+pub mod store;
+pub mod store_error;
--- /dev/null
+++ b/crates/client/src/logs.rs
@@ -0,0 +1,27 @@
+//! Set-up of `tracing` output.
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use tracing_subscriber::EnvFilter;
+
+/// Format of the log lines on standard error.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    #[default]
+    Human,
+    Json,
+}
+
+/// Installs the global subscriber. `filter` uses the syntax of `RUST_LOG`, which overrides it.
+pub fn init(format: LogFormat, filter: &str) {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(filter));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    // A second call in one process, as in tests, keeps the first subscriber.
+    let _ = match format {
+        LogFormat::Human => builder.try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+}
--- /dev/null
+++ b/crates/client/src/objects/database.rs
@@ -0,0 +1,18 @@
+//! A database group.
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::objects::member::Member;
+
+/// A database group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Database {
+    pub members: Vec<Member>,
+    /// Connections to one member over all hosts.
+    pub connections: u32,
+    /// Statements that one member executes at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/client/src/objects/host_status.rs
@@ -0,0 +1,23 @@
+//! What a host announces about itself.
+
+use std::net::SocketAddr;
+
+use magnoliahatch_core::ids::DataCentreId;
+use magnoliahatch_core::ids::Incarnation;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a host announces about itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct HostStatus {
+    pub incarnation: Incarnation,
+    pub data_centre: DataCentreId,
+    #[schemars(with = "String")]
+    pub sql: SocketAddr,
+    #[schemars(with = "String")]
+    pub admin: SocketAddr,
+    #[schemars(with = "String")]
+    pub control: SocketAddr,
+}
--- /dev/null
+++ b/crates/client/src/objects/mod.rs
@@ -0,0 +1,21 @@
+//! Object kinds that the store holds, one type a file.
+
+pub mod access;
+pub mod change;
+pub mod change_list;
+pub mod conflict;
+pub mod contract;
+pub mod database;
+pub mod draft;
+pub mod host_status;
+pub mod key_hash;
+pub mod kind;
+pub mod member;
+pub mod object_list;
+pub mod placement;
+pub mod primary_hint;
+pub mod route;
+pub mod seat_record;
+pub mod seat_table;
+pub mod stored_object;
+pub mod token_secret;
--- /dev/null
+++ b/crates/client/src/objects/object_list.rs
@@ -0,0 +1,15 @@
+//! All objects of one kind.
+
+use magnoliahatch_core::ids::Revision;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::objects::stored_object::StoredObject;
+
+/// All objects of one kind.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct ObjectList {
+    pub revision: Revision,
+    pub objects: Vec<StoredObject>,
+}
--- /dev/null
+++ b/crates/client/src/objects/seat_record.rs
@@ -0,0 +1,17 @@
+//! One seat of the seat table.
+
+use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::Incarnation;
+use magnoliahatch_core::ids::SeatNumber;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One seat of the seat table.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SeatRecord {
+    pub seat: SeatNumber,
+    pub host: HostId,
+    pub incarnation: Incarnation,
+}
--- /dev/null
+++ b/crates/client/tests/settings.rs
@@ -0,0 +1,48 @@
+//! Guards against settings errors that do not say where the fault is.
+
+use std::path::Path;
+
+use magnoliahatch_client::settings;
+use serde::Deserialize;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Sample {
+    inner: Inner,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Inner {
+    count: u32,
+}
+
+fn error_of(text: &str) -> String {
+    settings::parse::<Sample>(Path::new("a.json"), text).expect_err("refused").to_string()
+}
+
+#[test]
+fn comments_and_trailing_commas_are_accepted() {
+    let sample: Sample =
+        settings::parse(Path::new("a.json"), "{ // c\n \"inner\": {\"count\": 3,}, }").unwrap();
+    assert_eq!(sample.inner.count, 3);
+}
+
+#[test]
+fn unknown_field_names_file_line_and_allowed_fields() {
+    let message = error_of("{\n \"inner\": {\"count\": 3,\n \"cuont\": 4}}");
+    assert!(message.starts_with("a.json:3: field `inner.cuont`"), "{message}");
+    assert!(message.contains("expected `count`"), "{message}");
+}
+
+#[test]
+fn wrong_type_names_what_was_found() {
+    let message = error_of("{\n \"inner\": {\n \"count\": \"x\"}}");
+    assert!(message.starts_with("a.json:3: field `inner.count`"), "{message}");
+    assert!(message.contains("string \"x\"") && message.contains("u32"), "{message}");
+}
+
+#[test]
+fn syntax_error_names_the_line() {
+    assert!(error_of("{\n \"inner\": [}").starts_with("a.json:2: "));
+}
