--- /dev/null
+++ b/crates/bench/src/bin/fault-proxy.rs
@@ -0,0 +1,3 @@
+//! Fault-injecting proxy.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/bin/load.rs
@@ -0,0 +1,3 @@
+//! Load and experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/bin/quickstart.rs
@@ -0,0 +1,3 @@
+//! Runs the whole path as separate processes for a few seconds and prints a report.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/bin/standin-member.rs
@@ -0,0 +1,3 @@
+//! Stand-in for a member of a database group.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/bin/standin-store.rs
@@ -0,0 +1,3 @@
+//! Stand-in for the platform's object store.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/fault/mod.rs
@@ -0,0 +1,1 @@
+//! Fault-injecting proxy for TCP and UDP links.
--- /dev/null
+++ b/crates/bench/src/harness/mod.rs
@@ -0,0 +1,1 @@
+//! Starts the processes of a test or experiment and reads back their addresses.
--- /dev/null
+++ b/crates/bench/src/history/mod.rs
@@ -0,0 +1,1 @@
+//! History of concurrent operations and its checker.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform, fault proxy, load tool, history checker and process harness.
+
+pub mod fault;
+pub mod harness;
+pub mod history;
+pub mod load;
+pub mod member;
+pub mod store;
--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and experiment tool.
--- /dev/null
+++ b/crates/bench/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in for a member of a database group.
--- /dev/null
+++ b/crates/bench/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in for the platform's object store.
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -2,6 +2,7 @@
 //! the administration types, log set-up and the readiness line.
 
 pub mod admin;
+pub mod config_view;
 pub mod exit;
 pub mod logs;
 pub mod objects;
--- a/crates/client/tests/settings.rs
+++ b/crates/client/tests/settings.rs
@@ -18,28 +18,42 @@
 }
 
 fn error_of(text: &str) -> String {
-    settings::parse::<Sample>(Path::new("a.json"), text).expect_err("refused").to_string()
+    settings::parse::<Sample>(Path::new("a.json"), text)
+        .expect_err("refused")
+        .to_string()
 }
 
 #[test]
 fn comments_and_trailing_commas_are_accepted() {
-    let sample: Sample =
-        settings::parse(Path::new("a.json"), "{ // c\n \"inner\": {\"count\": 3,}, }").unwrap();
+    let sample: Sample = settings::parse(
+        Path::new("a.json"),
+        "{ // c\n \"inner\": {\"count\": 3,}, }",
+    )
+    .unwrap();
     assert_eq!(sample.inner.count, 3);
 }
 
 #[test]
 fn unknown_field_names_file_line_and_allowed_fields() {
     let message = error_of("{\n \"inner\": {\"count\": 3,\n \"cuont\": 4}}");
-    assert!(message.starts_with("a.json:3: field `inner.cuont`"), "{message}");
+    assert!(
+        message.starts_with("a.json:3: field `inner.cuont`"),
+        "{message}"
+    );
     assert!(message.contains("expected `count`"), "{message}");
 }
 
 #[test]
 fn wrong_type_names_what_was_found() {
     let message = error_of("{\n \"inner\": {\n \"count\": \"x\"}}");
-    assert!(message.starts_with("a.json:3: field `inner.count`"), "{message}");
-    assert!(message.contains("string \"x\"") && message.contains("u32"), "{message}");
+    assert!(
+        message.starts_with("a.json:3: field `inner.count`"),
+        "{message}"
+    );
+    assert!(
+        message.contains("string \"x\"") && message.contains("u32"),
+        "{message}"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/crates/ctl/src/bin/magnoliahatch.rs
@@ -0,0 +1,3 @@
+//! Operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Commands of the operator's command line.
--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Administration API.
--- /dev/null
+++ b/crates/daemon/src/bin/magnoliahatchd.rs
@@ -0,0 +1,3 @@
+//! Entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Keeps the configuration view current from the store and from peers.
--- /dev/null
+++ b/crates/daemon/src/election/mod.rs
@@ -0,0 +1,1 @@
+//! Replaces a failed primary.
--- /dev/null
+++ b/crates/daemon/src/front/mod.rs
@@ -0,0 +1,1 @@
+//! Accepts callers and serves their sessions.
--- /dev/null
+++ b/crates/daemon/src/mesh/mod.rs
@@ -0,0 +1,1 @@
+//! Control messages between daemons.
--- /dev/null
+++ b/crates/daemon/src/monitor/mod.rs
@@ -0,0 +1,1 @@
+//! Probes the members of each database group.
--- /dev/null
+++ b/crates/daemon/src/pool/mod.rs
@@ -0,0 +1,1 @@
+//! Pooled connections to endpoints.
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of the entry daemon.
