Add the store stand-in

The store client now also recognises its own deletion after a lost answer and reports status 5xx as unavailable.

--- /dev/null
+++ b/crates/bench/src/store/api.rs
@@ -0,0 +1,151 @@
+//! HTTP calls of the stand-in.
+
+use std::time::Duration;
+
+use dropshot::ApiDescription;
+use dropshot::ApiDescriptionRegisterError;
+use dropshot::HttpResponseDeleted;
+use dropshot::HttpResponseOk;
+use dropshot::HttpResponseUpdatedNoContent;
+use dropshot::Path;
+use dropshot::Query;
+use dropshot::RequestContext;
+use dropshot::TypedBody;
+use dropshot::endpoint;
+use magnoliahatch_client::objects::change_list::ChangeList;
+use magnoliahatch_client::objects::draft::Draft;
+use magnoliahatch_client::objects::object_list::ObjectList;
+use magnoliahatch_client::objects::stored_object::StoredObject;
+use magnoliahatch_core::ids::Revision;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::store::counts::Counts;
+use crate::store::fault::Fault;
+use crate::store::refusal::Refusal;
+use crate::store::server::State;
+
+/// Largest body: a value of 1 MB and the fields around it.
+const BODY_BYTES: usize = (1 << 20) + 4096;
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct KindPath {
+    kind: String,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct ObjectPath {
+    kind: String,
+    name: String,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct Condition {
+    if_version: Revision,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct WatchQuery {
+    after: Revision,
+    wait_ms: u64,
+}
+
+/// Description of all calls.
+pub fn description() -> Result<ApiDescription<State>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(object_get)?;
+    api.register(object_list)?;
+    api.register(object_put)?;
+    api.register(object_delete)?;
+    api.register(watch)?;
+    api.register(fault_set)?;
+    api.register(counts)?;
+    Ok(api)
+}
+
+#[endpoint { method = GET, path = "/objects/{kind}/{name}" }]
+async fn object_get(
+    context: RequestContext<State>,
+    path: Path<ObjectPath>,
+) -> Result<HttpResponseOk<StoredObject>, Refusal> {
+    let path = path.into_inner();
+    let object = context
+        .context()
+        .read(|objects| objects.get(&path.kind, &path.name))
+        .await??;
+    Ok(HttpResponseOk(object))
+}
+
+#[endpoint { method = GET, path = "/objects/{kind}" }]
+async fn object_list(
+    context: RequestContext<State>,
+    path: Path<KindPath>,
+) -> Result<HttpResponseOk<ObjectList>, Refusal> {
+    let kind = path.into_inner().kind;
+    let list = context
+        .context()
+        .read(|objects| objects.list(&kind))
+        .await?;
+    Ok(HttpResponseOk(list))
+}
+
+#[endpoint {
+    method = PUT,
+    path = "/objects/{kind}/{name}",
+    request_body_max_bytes = BODY_BYTES,
+}]
+async fn object_put(
+    context: RequestContext<State>,
+    path: Path<ObjectPath>,
+    query: Query<Condition>,
+    body: TypedBody<Draft>,
+) -> Result<HttpResponseOk<StoredObject>, Refusal> {
+    let path = path.into_inner();
+    let expected = query.into_inner().if_version;
+    let draft = body.into_inner();
+    let object = context
+        .context()
+        .write(|objects| objects.put(&path.kind, &path.name, expected, draft))
+        .await?;
+    Ok(HttpResponseOk(object))
+}
+
+#[endpoint { method = DELETE, path = "/objects/{kind}/{name}" }]
+async fn object_delete(
+    context: RequestContext<State>,
+    path: Path<ObjectPath>,
+    query: Query<Condition>,
+) -> Result<HttpResponseDeleted, Refusal> {
+    let path = path.into_inner();
+    let expected = query.into_inner().if_version;
+    context
+        .context()
+        .write(|objects| objects.delete(&path.kind, &path.name, expected))
+        .await?;
+    Ok(HttpResponseDeleted())
+}
+
+#[endpoint { method = GET, path = "/watch" }]
+async fn watch(
+    context: RequestContext<State>,
+    query: Query<WatchQuery>,
+) -> Result<HttpResponseOk<ChangeList>, Refusal> {
+    let query = query.into_inner();
+    let wait = Duration::from_millis(query.wait_ms);
+    let changes = context.context().watch(query.after, wait).await?;
+    Ok(HttpResponseOk(changes))
+}
+
+#[endpoint { method = POST, path = "/fault" }]
+async fn fault_set(
+    context: RequestContext<State>,
+    body: TypedBody<Fault>,
+) -> Result<HttpResponseUpdatedNoContent, Refusal> {
+    context.context().set_fault(body.into_inner());
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+#[endpoint { method = GET, path = "/counts" }]
+async fn counts(context: RequestContext<State>) -> Result<HttpResponseOk<Counts>, Refusal> {
+    Ok(HttpResponseOk(*context.context().counts()))
+}
--- a/crates/client/src/store.rs
+++ b/crates/client/src/store.rs
@@ -114,11 +114,29 @@
     }
 
     /// Deletes an object if its version is still `expected`.
+    ///
+    /// When the answer was lost and the object no longer exists, the deletion is complete,
+    /// whoever performed it.
     pub async fn delete(
         &self,
         kind: &str,
         name: &str,
         expected: Revision,
+    ) -> Result<(), StoreError> {
+        match self.delete_once(kind, name, expected).await {
+            Err(StoreError::Unavailable(cause)) => match self.get(kind, name).await {
+                Err(StoreError::NotFound { .. }) => Ok(()),
+                _ => Err(StoreError::Unavailable(cause)),
+            },
+            other => other,
+        }
+    }
+
+    async fn delete_once(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Revision,
     ) -> Result<(), StoreError> {
         let request = self
             .http
@@ -129,8 +147,7 @@
         match answer.status() {
             StatusCode::NOT_FOUND => Err(not_found(kind, name)),
             StatusCode::CONFLICT => Err(conflict(kind, name, expected, answer).await),
-            status if status.is_success() => Ok(()),
-            status => Err(StoreError::Status(status.as_u16())),
+            _ => success(answer).map(drop),
         }
     }
 
@@ -152,13 +169,25 @@
 }
 
 async fn decode<T: DeserializeOwned>(answer: reqwest::Response) -> Result<T, StoreError> {
-    if !answer.status().is_success() {
-        return Err(StoreError::Status(answer.status().as_u16()));
-    }
-    let body = answer.bytes().await.map_err(StoreError::Unavailable)?;
+    let body = success(answer)?
+        .bytes()
+        .await
+        .map_err(StoreError::Unavailable)?;
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Status 5xx counts as unavailable: the store has not judged the request.
+fn success(answer: reqwest::Response) -> Result<reqwest::Response, StoreError> {
+    let status = answer.status();
+    if status.is_success() {
+        Ok(answer)
+    } else if status.is_server_error() {
+        answer.error_for_status().map_err(StoreError::Unavailable)
+    } else {
+        Err(StoreError::Status(status.as_u16()))
+    }
+}
+
 async fn conflict(
     kind: &str,
     name: &str,
