Let configuration views merge lists and patches; add keys

A change pushed out of order could bring back an object that was deleted before the view's first list: the view held no record of the deletion. The view now keeps the last change of each object and the revision of each kind's list, and ignores changes at or below them. A ConfigPatch carries the changes that a peer lacks, or a complete configuration when earlier deletions are unknown, so that a daemon can start from a peer during an outage.

--- a/crates/client/src/config_view.rs
+++ b/crates/client/src/config_view.rs
@@ -1,7 +1,10 @@
 //! The configuration in force on one host.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
+use magnoliahatch_core::ids::DataCentreId;
 use magnoliahatch_core::ids::DatabaseId;
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::OrganisationId;
@@ -9,23 +12,33 @@
 use magnoliahatch_core::ids::RouteId;
 use serde::de::DeserializeOwned;
 
+use crate::config_patch::ConfigPatch;
+use crate::config_patch::Merged;
 use crate::objects::change::Change;
 use crate::objects::contract::Contract;
 use crate::objects::database::Database;
 use crate::objects::host_status::HostStatus;
 use crate::objects::kind;
+use crate::objects::member::Member;
+use crate::objects::object_list::ObjectList;
 use crate::objects::placement::Placement;
 use crate::objects::primary_hint::PrimaryHint;
 use crate::objects::route::Route;
 use crate::objects::seat_table::SeatTable;
+use crate::objects::stored_object::StoredObject;
 use crate::objects::token_secret::TokenSecret;
 
+/// Kind and name of an object.
+pub type ObjectKey = (String, String);
+
 /// Typed copy of the store's objects. Applies only higher versions, so that a late or repeated
 /// change from the store or from a peer never reverts a newer one.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigView {
     /// Highest revision up to which every change has been applied.
     pub revision: Revision,
+    /// Whether a complete configuration has been received, from the store or from a peer.
+    pub filled: bool,
     pub contracts: BTreeMap<OrganisationId, Contract>,
     pub routes: BTreeMap<RouteId, Route>,
     pub databases: BTreeMap<DatabaseId, Database>,
@@ -35,19 +48,21 @@
     pub primaries: BTreeMap<DatabaseId, PrimaryHint>,
     pub seats: SeatTable,
     pub secrets: BTreeMap<String, TokenSecret>,
-    versions: BTreeMap<(String, String), Revision>,
+    /// Objects whose newest value cannot be read; their previous value is in force.
+    pub unreadable: BTreeMap<ObjectKey, Revision>,
+    /// Last change of each object, deletions included, as received.
+    last: BTreeMap<ObjectKey, Arc<Change>>,
+    /// By kind, the revision of the newest list. Later deletions are in `last`; earlier ones may
+    /// be missing there, so that earlier changes must be ignored.
+    listed: BTreeMap<&'static str, Revision>,
 }
 
 impl ConfigView {
     /// Applies one change; false if it is old or cannot be read. A change that cannot be read
-    /// leaves the previous value in force.
+    /// leaves the previous value in force, but is handed on to peers.
     pub fn apply(&mut self, change: &Change) -> bool {
         let key = (change.kind.clone(), change.name.clone());
-        if self
-            .versions
-            .get(&key)
-            .is_some_and(|version| *version >= change.revision)
-        {
+        if self.floor_of(&key) >= change.revision {
             return false;
         }
         let name = change.name.as_str();
@@ -64,13 +79,17 @@
                     self.seats = table;
                     true
                 }
+                // The table is never deleted; without one, the seats stay as they are.
                 _ => false,
             },
-            _ => false,
+            _ => return false,
         };
         if applied {
-            self.versions.insert(key, change.revision);
+            self.unreadable.remove(&key);
+        } else {
+            self.unreadable.insert(key.clone(), change.revision);
         }
+        self.last.insert(key, Arc::new(change.clone()));
         applied
     }
 
@@ -79,10 +98,150 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Merges lists of all kinds; false if nothing changed.
+    pub fn merge_lists(&mut self, lists: &[(&'static str, ObjectList)]) -> bool {
+        let before = (self.revision, self.filled);
+        let mut changed = false;
+        for (kind, list) in lists {
+            let names = list.objects.iter().map(|object| object.name.as_str());
+            changed |= self.remove_absent(kind, &names.collect(), list.revision);
+            for object in &list.objects {
+                changed |= self.apply(&Change {
+                    kind: object.kind.clone(),
+                    name: object.name.clone(),
+                    revision: object.version,
+                    object: Some(object.clone()),
+                });
+            }
+            self.record_list(kind, list.revision);
+        }
+        if let Some(revision) = lists.iter().map(|(_, list)| list.revision).min() {
+            self.advance(revision);
+            self.filled = true;
+        }
+        changed || before != (self.revision, self.filled)
+    }
+
+    /// Merges changes from a watch or from a peer.
+    pub fn merge(&mut self, patch: &ConfigPatch) -> Merged {
+        let before = (self.revision, self.filled);
+        let mut changed = false;
+        let complete = patch.after == 0;
+        let covered = || {
+            let covers = |kind: &&str| patch.kinds.iter().any(|k| k == kind);
+            kind::ALL.into_iter().filter(covers)
+        };
+        if complete {
+            for kind in covered() {
+                let changes = patch.changes.iter().filter(|change| change.kind == kind);
+                let names = changes.map(|change| change.name.as_str());
+                changed |= self.remove_absent(kind, &names.collect(), patch.revision);
+            }
+        }
+        for change in &patch.changes {
+            changed |= self.apply(change);
+        }
+        if complete {
+            for kind in covered() {
+                self.record_list(kind, patch.revision);
+            }
+            self.filled = true;
+        }
+        let gap = patch.after > self.revision && patch.revision > self.revision;
+        // A sender that keeps fewer kinds cannot tell that nothing is missing.
+        if !gap && covered().count() == kind::ALL.len() {
+            self.advance(patch.revision);
+        }
+        Merged {
+            changed: changed || before != (self.revision, self.filled),
+            gap,
+        }
+    }
+
+    /// Changes that a peer at revision `after` lacks; none before this view is filled.
+    pub fn patch(&self, after: Revision) -> Option<ConfigPatch> {
+        if !self.filled {
+            return None;
+        }
+        // Deletions before a list may be unknown, so only a complete patch can tell them.
+        let listed = self.listed.values().copied().max().unwrap_or(0);
+        let after = if after < listed { 0 } else { after };
+        let mut changes: Vec<Change> = self
+            .last
+            .values()
+            .filter(|change| change.revision > after && (after > 0 || change.object.is_some()))
+            .map(|change| Change::clone(change))
+            .collect();
+        changes.sort_by_key(|change| change.revision);
+        Some(ConfigPatch {
+            after,
+            revision: self.revision,
+            kinds: kind::ALL.map(str::to_owned).to_vec(),
+            changes,
+        })
+    }
+
+    /// An object as received, whether or not its value can be read.
+    pub fn object(&self, kind: &str, name: &str) -> Option<&StoredObject> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.last.get(&key)?.object.as_ref()
+    }
+
     /// Whether new work may go to this subject, for instance `endpoint/hire-1`.
     pub fn in_service(&self, subject: &str) -> bool {
         self.placements.get(subject) != Some(&Placement::Out)
     }
+
+    /// Whether new work may go to a member: both it and its data centre are in service.
+    pub fn member_in_service(&self, member: &Member) -> bool {
+        self.in_service(&format!("endpoint/{}", member.name))
+            && self.data_centre_in_service(&member.data_centre)
+    }
+
+    /// Whether a host may take new work: both it and its data centre are in service.
+    pub fn host_in_service(&self, host: &HostId, data_centre: &DataCentreId) -> bool {
+        self.in_service(&format!("host/{host}")) && self.data_centre_in_service(data_centre)
+    }
+
+    fn data_centre_in_service(&self, data_centre: &DataCentreId) -> bool {
+        self.in_service(&format!("data-centre/{data_centre}"))
+    }
+
+    /// Revision up to which every change of an object has been applied or superseded.
+    fn floor_of(&self, key: &ObjectKey) -> Revision {
+        let version = self.last.get(key).map_or(0, |change| change.revision);
+        let listed = self.listed.get(key.0.as_str()).copied().unwrap_or(0);
+        version.max(listed).max(self.revision)
+    }
+
+    fn record_list(&mut self, kind: &'static str, revision: Revision) {
+        let listed = self.listed.entry(kind).or_default();
+        *listed = revision.max(*listed);
+    }
+
+    /// Removes objects that did not exist at a revision.
+    fn remove_absent(&mut self, kind: &str, present: &BTreeSet<&str>, revision: Revision) -> bool {
+        let absent: Vec<Change> = self
+            .last
+            .values()
+            .filter(|change| {
+                change.object.is_some()
+                    && change.revision < revision
+                    && change.kind == kind
+                    && !present.contains(change.name.as_str())
+            })
+            .map(|change| Change {
+                kind: change.kind.clone(),
+                name: change.name.clone(),
+                revision,
+                object: None,
+            })
+            .collect();
+        for change in &absent {
+            self.apply(change);
+        }
+        !absent.is_empty()
+    }
 }
 
 fn set<T: DeserializeOwned>(map: &mut BTreeMap<String, T>, name: &str, change: &Change) -> bool {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -2,8 +2,11 @@
 //! the administration types, log set-up and the readiness line.
 
 pub mod admin;
+pub mod change_id;
+pub mod config_patch;
 pub mod config_view;
 pub mod exit;
+pub mod keys;
 pub mod logs;
 pub mod objects;
 pub mod ready;
