--- /dev/null
+++ b/crates/daemon/src/confirm/confirmer.rs
@@ -0,0 +1,193 @@
+//! Holds answers until their position is confirmed on a second member.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_core::confirm::AnswerId;
+use magnoliahatch_core::confirm::Confirmations;
+use magnoliahatch_core::confirm::Verdict;
+use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::LogIndex;
+use magnoliahatch_core::ids::MemberId;
+use magnoliahatch_core::ids::Term;
+use magnoliahatch_core::position::LogPosition;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::monitor::group::Group;
+use crate::verbs::VerbError;
+use crate::verbs::Verbs;
+
+/// Time that one call waits at the primary; short, so that a silent connection is noticed soon.
+const WAIT: Duration = Duration::from_millis(500);
+/// Added for the answer's way.
+const SLACK: Duration = Duration::from_millis(400);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Watcher of one database group.
+#[derive(Debug)]
+pub struct Confirmer {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    wake: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    confirmations: Confirmations,
+    waiters: HashMap<AnswerId, oneshot::Sender<Verdict>>,
+}
+
+impl Confirmer {
+    /// Starts the watcher; it ends when `alive` closes.
+    pub fn spawn(
+        database: DatabaseId,
+        addresses: BTreeMap<MemberId, SocketAddr>,
+        group: Arc<Group>,
+        mut alive: watch::Receiver<()>,
+    ) -> Self {
+        let shared = Arc::<Shared>::default();
+        let watcher = Watcher {
+            database,
+            addresses,
+            group,
+            shared: Arc::clone(&shared),
+        };
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = alive.changed() => {}
+                () = watcher.run() => {}
+            }
+        });
+        Self { shared }
+    }
+
+    /// Waits until a position is confirmed; unknown at the deadline.
+    pub async fn wait(&self, position: LogPosition, deadline: Instant) -> Verdict {
+        let (id, receiver) = {
+            let mut state = self.shared.state();
+            match state.confirmations.add(position) {
+                Err(verdict) => return verdict,
+                Ok(id) => {
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiters.insert(id, sender);
+                    (id, receiver)
+                }
+            }
+        };
+        self.shared.wake.notify_one();
+        match tokio::time::timeout_at(deadline.into(), receiver).await {
+            Ok(Ok(verdict)) => verdict,
+            _ => {
+                let mut state = self.shared.state();
+                state.confirmations.remove(position, id);
+                state.waiters.remove(&id);
+                Verdict::Unknown
+            }
+        }
+    }
+
+    /// A probe reported what the primary has confirmed.
+    pub fn on_confirmed(&self, term: Term, index: LogIndex) {
+        self.shared.on_confirmed(term, index);
+    }
+}
+
+impl Shared {
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+
+    fn on_confirmed(&self, term: Term, index: LogIndex) {
+        let mut state = self.state();
+        let released = state.confirmations.on_confirmed(term, index);
+        state.release(released);
+    }
+
+    fn on_term(&self, term: Term) {
+        let mut state = self.state();
+        let released = state.confirmations.on_term(term);
+        state.release(released);
+    }
+}
+
+impl State {
+    fn release(&mut self, released: Vec<(AnswerId, Verdict)>) {
+        for (id, verdict) in released {
+            if let Some(waiter) = self.waiters.remove(&id) {
+                // The session may have given up at its deadline.
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+}
+
+/// Task that calls `platform_wait` while answers are pending.
+struct Watcher {
+    database: DatabaseId,
+    addresses: BTreeMap<MemberId, SocketAddr>,
+    group: Arc<Group>,
+    shared: Arc<Shared>,
+}
+
+impl Watcher {
+    async fn run(self) {
+        let mut link: Option<(MemberId, Verbs)> = None;
+        let mut view = self.group.subscribe();
+        loop {
+            let next = self.shared.state().confirmations.next_call();
+            let Some(position) = next else {
+                self.shared.wake.notified().await;
+                continue;
+            };
+            let Some((member, term)) = self.group.primary() else {
+                let _ = tokio::time::timeout(WAIT, view.changed()).await;
+                continue;
+            };
+            if term > position.term {
+                self.shared.on_term(term);
+                continue;
+            }
+            match self.call(&mut link, &member, position).await {
+                Ok((term, index)) => self.shared.on_confirmed(term, index),
+                Err(error) => {
+                    tracing::debug!(event = 230, member, %error, "confirmation call failed");
+                    link = None;
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        link: &mut Option<(MemberId, Verbs)>,
+        member: &MemberId,
+        position: LogPosition,
+    ) -> Result<(Term, LogIndex), VerbError> {
+        let deadline = Instant::now() + WAIT + SLACK;
+        if link.as_ref().is_none_or(|(name, _)| name != member) {
+            let address = self.addresses.get(member);
+            let address = *address.ok_or(VerbError::Answer("platform_wait"))?;
+            let verbs = Verbs::open(address, &self.database, deadline).await?;
+            *link = Some((member.clone(), verbs));
+        }
+        let Some((_, verbs)) = link else {
+            return Err(VerbError::Answer("platform_wait"));
+        };
+        verbs
+            .wait(position.term, position.index, WAIT, deadline)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/databases/database.rs
@@ -0,0 +1,177 @@
+//! One database group in use.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::objects::member::Member;
+use magnoliahatch_core::hold::Hold;
+use magnoliahatch_core::ids::DataCentreId;
+use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::MemberId;
+use magnoliahatch_core::ids::Term;
+use magnoliahatch_core::route::Choice;
+use magnoliahatch_core::route::ReadNeed;
+use tokio::sync::watch;
+
+use crate::confirm::confirmer::Confirmer;
+use crate::confirm::freshness::Freshness;
+use crate::limits::Limits;
+use crate::monitor;
+use crate::monitor::group::Group;
+use crate::pool::member_pool::MemberPool;
+
+/// Statements of one database that may wait for a primary on one host.
+const HOLD_LIMIT: usize = 2048;
+/// Longest wait for a primary. A replacement takes at most 6 s.
+const HOLD_TIME: Duration = Duration::from_secs(8);
+
+/// One database group in use; its tasks end when it is dropped.
+#[derive(Debug)]
+pub struct Database {
+    pub name: DatabaseId,
+    pub group: Arc<Group>,
+    pub confirmer: Confirmer,
+    pub freshness: Freshness,
+    members: Vec<Member>,
+    pools: BTreeMap<MemberId, Arc<MemberPool>>,
+    hold: Mutex<Hold>,
+    start: Instant,
+    turn: AtomicUsize,
+    _alive: watch::Sender<()>,
+}
+
+impl Database {
+    /// Starts pools, monitors and watchers of a group.
+    pub fn spawn(
+        name: DatabaseId,
+        members: Vec<Member>,
+        limits: &Arc<Limits>,
+        start: Instant,
+    ) -> Arc<Self> {
+        let alive = watch::Sender::new(());
+        let group = Arc::new(Group::new(start));
+        let pools: BTreeMap<_, _> = members
+            .iter()
+            .map(|member| {
+                let limits = Arc::clone(limits);
+                let id = member.name.clone();
+                let pool = MemberPool::spawn(name.clone(), id, member.address, limits);
+                (member.name.clone(), pool)
+            })
+            .collect();
+        for pool in pools.values() {
+            monitor::spawn(Arc::clone(&group), Arc::clone(pool), alive.subscribe());
+        }
+        let addresses: BTreeMap<_, _> = members
+            .iter()
+            .map(|member| (member.name.clone(), member.address))
+            .collect();
+        let confirmer = Confirmer::spawn(
+            name.clone(),
+            addresses.clone(),
+            Arc::clone(&group),
+            alive.subscribe(),
+        );
+        let freshness = Freshness::spawn(name.clone(), addresses, Arc::clone(&group));
+        Arc::new(Self {
+            name,
+            group,
+            confirmer,
+            freshness,
+            members,
+            pools,
+            hold: Mutex::new(Hold::new(HOLD_LIMIT, HOLD_TIME)),
+            start,
+            turn: AtomicUsize::new(0),
+            _alive: alive,
+        })
+    }
+
+    /// Whether the group was started with these members.
+    pub fn has_members(&self, members: &[Member]) -> bool {
+        self.members == members
+    }
+
+    pub fn pool(&self, member: &MemberId) -> Option<&Arc<MemberPool>> {
+        self.pools.get(member)
+    }
+
+    /// Chooses a member for a read: members out of service get none, and the own data centre
+    /// comes first.
+    pub fn choose(&self, need: ReadNeed, view: &ConfigView, own: &DataCentreId) -> Choice {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        self.group.choose(need, turn, |name| {
+            let member = self.members.iter().find(|m| m.name == *name)?;
+            view.member_in_service(member)
+                .then_some(u32::from(member.data_centre != *own))
+        })
+    }
+
+    /// The primary's pool. While there is none, waits until one is found; none if too many
+    /// statements wait already, or none was found in time.
+    /// Primaries of a term before `term` do not count.
+    pub async fn primary(&self, term: Term, deadline: Instant) -> Option<Arc<MemberPool>> {
+        if let Some(pool) = self.current_primary(term) {
+            return Some(pool);
+        }
+        let wait = Waiting::enter(self, deadline)?;
+        let mut view = self.group.subscribe();
+        loop {
+            if let Some(pool) = self.current_primary(term) {
+                return Some(pool);
+            }
+            tokio::time::timeout_at(wait.until.into(), view.changed())
+                .await
+                .ok()?
+                .ok()?;
+        }
+    }
+
+    /// Number of statements that wait for a primary.
+    pub fn waiting(&self) -> usize {
+        self.hold
+            .lock()
+            .expect("no holder of this lock panics")
+            .waiting()
+    }
+
+    fn current_primary(&self, term: Term) -> Option<Arc<MemberPool>> {
+        let (name, _) = self.group.primary().filter(|(_, known)| *known >= term)?;
+        self.pools.get(&name).cloned()
+    }
+}
+
+/// Place of one statement in the hold.
+struct Waiting<'a> {
+    database: &'a Database,
+    until: Instant,
+}
+
+impl<'a> Waiting<'a> {
+    fn enter(database: &'a Database, deadline: Instant) -> Option<Self> {
+        let mut hold = database.hold.lock().expect("no holder of this lock panics");
+        let limit = deadline.saturating_duration_since(database.start);
+        let until = hold.on_wait(database.start.elapsed(), limit)?;
+        Some(Self {
+            database,
+            until: database.start + until,
+        })
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut hold = self
+            .database
+            .hold
+            .lock()
+            .expect("no holder of this lock panics");
+        hold.on_leave();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/databases/mod.rs
@@ -0,0 +1,4 @@
+//! Database groups in use: their pools, monitors and watchers.
+
+pub mod database;
+pub mod directory;
--- /dev/null
+++ b/crates/daemon/src/front/batch.rs
@@ -0,0 +1,210 @@
+//! Messages of the extended protocol up to Sync or Flush.
+
+use std::collections::HashMap;
+
+use bytes::BufMut;
+use bytes::BytesMut;
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::link::Link;
+
+use crate::front::message::Message;
+use crate::front::step::Kind;
+use crate::front::step::Script;
+use crate::front::step::Step;
+use crate::front::step::put_text;
+use crate::wire::frame::Frame;
+use crate::wire::reply;
+use crate::wire::tag;
+
+/// Classes of the statements bound to each open portal.
+pub(crate) type Portals = HashMap<String, Vec<Class>>;
+
+/// Collected messages and what they execute.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Batch {
+    pub(crate) messages: Vec<Message>,
+    /// Answers that the proxy gives itself, by index of the message.
+    local: HashMap<usize, Vec<Frame>>,
+    /// Classes of all executed statements.
+    pub(crate) classes: Vec<Class>,
+    /// Bytes of the collected messages.
+    pub(crate) size: usize,
+}
+
+impl Batch {
+    /// Adds a message. Executed statements that the proxy interprets are returned by class; the
+    /// caller gives their answer to `answer`.
+    pub(crate) fn push(&mut self, message: Message, portals: &mut Portals) -> Option<Class> {
+        let index = self.messages.len();
+        let mut own = None;
+        match &message {
+            Message::Parse { statement, .. } if is_own(&statement.classes) => {
+                self.answer(index, vec![Frame::new(tag::PARSE_COMPLETE, &[])]);
+            }
+            Message::Bind {
+                portal, statement, ..
+            } => {
+                portals.insert(portal.clone(), statement.classes.clone());
+                if is_own(&statement.classes) {
+                    self.answer(index, vec![Frame::new(tag::BIND_COMPLETE, &[])]);
+                }
+            }
+            Message::DescribeStatement(statement) if is_own(&statement.classes) => {
+                let parameters = Frame::new(tag::PARAMETER_DESCRIPTION, &[0, 0]);
+                let mut frames = vec![parameters];
+                frames.extend(describe(&statement.classes));
+                self.answer(index, frames);
+            }
+            Message::DescribePortal { portal, .. } => {
+                if let Some(classes) = portals.get(portal).filter(|classes| is_own(classes)) {
+                    self.answer(index, describe(classes));
+                }
+            }
+            Message::Execute { portal, .. } => {
+                if let Some(classes) = portals.get(portal) {
+                    if is_own(classes) {
+                        own = classes.first().cloned();
+                    } else {
+                        self.classes.extend(classes.iter().cloned());
+                    }
+                }
+            }
+            Message::CloseStatement(_) => {
+                self.answer(index, vec![Frame::new(tag::CLOSE_COMPLETE, &[])]);
+            }
+            _ => {}
+        }
+        self.messages.push(message);
+        own
+    }
+
+    /// Answers the message last pushed without the endpoint.
+    pub(crate) fn answer_last(&mut self, frames: Vec<Frame>) {
+        self.answer(self.messages.len() - 1, frames);
+    }
+
+    /// The answers, if none of them needs the endpoint.
+    pub(crate) fn local_answers(&self) -> Option<Vec<Frame>> {
+        (self.local.len() == self.messages.len()).then(|| {
+            (0..self.messages.len())
+                .filter_map(|index| self.local.get(&index))
+                .flatten()
+                .cloned()
+                .collect()
+        })
+    }
+
+    /// Answers for a transaction that was given up already, if the batch only ends it.
+    pub(crate) fn rollback_answers(&self) -> Option<Vec<Frame>> {
+        let ends = |classes: &[Class]| matches!(classes, [Class::Rollback | Class::Commit]);
+        let mut frames = Vec::new();
+        for message in &self.messages {
+            match message {
+                Message::Parse { statement, .. } if ends(&statement.classes) => {
+                    frames.push(Frame::new(tag::PARSE_COMPLETE, &[]));
+                }
+                Message::Bind { statement, .. } if ends(&statement.classes) => {
+                    frames.push(Frame::new(tag::BIND_COMPLETE, &[]));
+                }
+                Message::DescribeStatement(statement) if ends(&statement.classes) => {
+                    frames.push(Frame::new(tag::PARAMETER_DESCRIPTION, &[0, 0]));
+                    frames.push(Frame::new(tag::NO_DATA, &[]));
+                }
+                Message::DescribePortal { .. } => frames.push(Frame::new(tag::NO_DATA, &[])),
+                Message::Execute { .. } => frames.push(reply::complete("ROLLBACK")),
+                Message::CloseStatement(_) | Message::ClosePortal(_) => {
+                    frames.push(Frame::new(tag::CLOSE_COMPLETE, &[]));
+                }
+                _ => return None,
+            }
+        }
+        self.classes
+            .iter()
+            .all(|c| ends(std::slice::from_ref(c)))
+            .then_some(frames)
+    }
+
+    /// Whether a statement is executed, other than those that the proxy interprets.
+    pub(crate) fn executes(&self) -> bool {
+        !self.classes.is_empty()
+    }
+
+    /// Names that the batch prepares.
+    pub(crate) fn prepared_names(&self) -> impl Iterator<Item = &str> {
+        self.messages.iter().filter_map(|message| match message {
+            Message::Parse { name, .. } => Some(name.as_str()),
+            _ => None,
+        })
+    }
+
+    /// Messages for a connection, after the statements that it needs first.
+    pub(crate) fn script(&self, needs: &[String], link: &mut Link, portals: &Portals) -> Script {
+        let mut script = Script::default();
+        for need in needs {
+            script.prepare(need);
+        }
+        for (index, message) in self.messages.iter().enumerate() {
+            if let Some(frames) = self.local.get(&index) {
+                script.steps.push(Step::Local(frames.clone()));
+                continue;
+            }
+            match message {
+                Message::Parse { statement, .. } => script.parse(statement, link, true),
+                Message::Bind {
+                    portal,
+                    statement,
+                    rest,
+                } => {
+                    script.parse(statement, link, false);
+                    let mut body = BytesMut::new();
+                    put_text(&mut body, portal);
+                    put_text(&mut body, &statement.shared_name);
+                    body.put_slice(rest);
+                    script.pass(Kind::Bind, Frame::new(tag::BIND, &body), Vec::new());
+                }
+                Message::DescribeStatement(statement) => {
+                    script.parse(statement, link, false);
+                    let mut body = BytesMut::from(&b"S"[..]);
+                    put_text(&mut body, &statement.shared_name);
+                    script.pass(Kind::Describe, Frame::new(tag::DESCRIBE, &body), Vec::new());
+                }
+                Message::DescribePortal { frame, .. } => {
+                    script.pass(Kind::Describe, frame.clone(), Vec::new());
+                }
+                Message::Execute { portal, frame } => {
+                    let classes = portals.get(portal).cloned().unwrap_or_default();
+                    script.pass(Kind::Execute, frame.clone(), classes);
+                }
+                Message::ClosePortal(frame) => {
+                    script.pass(Kind::Close, frame.clone(), Vec::new());
+                }
+                // Connections keep shared statements until they are pushed out.
+                Message::CloseStatement(_) => {}
+            }
+        }
+        script
+    }
+
+    fn answer(&mut self, index: usize, frames: Vec<Frame>) {
+        self.local.insert(index, frames);
+    }
+}
+
+/// Whether the proxy interprets the statement itself.
+pub(crate) fn is_own(classes: &[Class]) -> bool {
+    match classes {
+        [Class::Set(change)] => change.is_own(),
+        [Class::Show(_) | Class::DiscardAll | Class::Deallocate(_)] => true,
+        _ => false,
+    }
+}
+
+fn describe(classes: &[Class]) -> Vec<Frame> {
+    match classes {
+        [Class::Show(name)] => {
+            let [description, _] = reply::one_row(name, "");
+            vec![description]
+        }
+        _ => vec![Frame::new(tag::NO_DATA, &[])],
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/cancel.rs
@@ -0,0 +1,113 @@
+//! Cancel requests of callers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::BufMut;
+use bytes::BytesMut;
+use rand::Rng;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+
+use crate::pool::connection::BackendKey;
+use crate::pool::socket;
+
+/// Code of a cancel request.
+pub(crate) const CANCEL_CODE: u32 = 80_877_102;
+/// Time to hand a cancel request to a member.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Process id and secret that a caller presents to cancel.
+pub(crate) type CallerKey = (u32, u32);
+
+/// Sessions by the key that their callers hold.
+#[derive(Debug, Default)]
+pub(crate) struct Cancels {
+    slots: Mutex<HashMap<CallerKey, Arc<CancelSlot>>>,
+}
+
+/// Where a cancel request of one session goes at present.
+#[derive(Debug, Default)]
+pub(crate) struct CancelSlot {
+    state: Mutex<Target>,
+}
+
+#[derive(Debug, Default)]
+struct Target {
+    key: Option<BackendKey>,
+    cancelled: bool,
+}
+
+impl Cancels {
+    /// Registers a session under a new random key.
+    pub(crate) fn register(&self) -> (CallerKey, Arc<CancelSlot>) {
+        let mut slots = self.slots.lock().expect("no holder of this lock panics");
+        loop {
+            let key = rand::rng().random::<CallerKey>();
+            if !slots.contains_key(&key) {
+                let slot = Arc::<CancelSlot>::default();
+                slots.insert(key, Arc::clone(&slot));
+                return (key, slot);
+            }
+        }
+    }
+
+    pub(crate) fn remove(&self, key: CallerKey) {
+        let mut slots = self.slots.lock().expect("no holder of this lock panics");
+        slots.remove(&key);
+    }
+
+    /// Passes a caller's cancel request on to the connection that its session uses, if any.
+    pub(crate) async fn cancel(&self, key: CallerKey) {
+        let slot = {
+            let slots = self.slots.lock().expect("no holder of this lock panics");
+            slots.get(&key).cloned()
+        };
+        if let Some(target) = slot.and_then(|slot| slot.claim()) {
+            send(&target).await;
+        }
+    }
+}
+
+impl CancelSlot {
+    /// A statement is about to be sent on a connection.
+    pub(crate) fn begin(&self, key: BackendKey) {
+        let mut target = self.state.lock().expect("no holder of this lock panics");
+        target.key = Some(key);
+        target.cancelled = false;
+    }
+
+    /// The statement ended: whether a cancel request was or will be sent for its connection. The
+    /// request may arrive late, so the connection must not serve another session.
+    pub(crate) fn end(&self) -> bool {
+        let mut target = self.state.lock().expect("no holder of this lock panics");
+        target.key = None;
+        target.cancelled
+    }
+
+    fn claim(&self) -> Option<BackendKey> {
+        let mut target = self.state.lock().expect("no holder of this lock panics");
+        target.cancelled |= target.key.is_some();
+        target.key.clone()
+    }
+}
+
+/// Sends a cancel request to a member; failures leave the statement to its deadline.
+pub(crate) async fn send(key: &BackendKey) {
+    let sending = async {
+        let mut stream = socket::connect(key.address).await?;
+        let mut request = BytesMut::new();
+        // Length and code, then process id and secret as the member sent them.
+        request.put_u32(u32::try_from(8 + key.body.len()).unwrap_or(u32::MAX));
+        request.put_u32(CANCEL_CODE);
+        request.put_slice(&key.body);
+        stream.write_all(&request).await?;
+        // The member closes the connection once it has handled the request.
+        stream.read(&mut [0]).await.map(drop)
+    };
+    if let Ok(Err(error)) = tokio::time::timeout(SEND_TIMEOUT, sending).await {
+        tracing::debug!(event = 211, %error, "cancel request failed");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/client.rs
@@ -0,0 +1,58 @@
+//! Connection of one caller.
+
+use std::time::Instant;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio_util::codec::Framed;
+
+use crate::wire::frame::Frame;
+use crate::wire::frame_codec::FrameCodec;
+use crate::wire::frame_error::FrameError;
+
+/// Largest message accepted from a caller.
+const FRAME_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Byte stream of a caller, with or without TLS.
+pub(crate) trait Stream: AsyncRead + AsyncWrite + Send + Sync + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Send + Sync + Unpin> Stream for S {}
+
+/// Connection of one caller after the startup message.
+pub(crate) struct Client {
+    frames: Framed<Box<dyn Stream>, FrameCodec>,
+}
+
+impl Client {
+    pub(crate) fn new(stream: Box<dyn Stream>) -> Self {
+        Self {
+            frames: Framed::new(stream, FrameCodec::new(FRAME_LIMIT)),
+        }
+    }
+
+    /// Next message; none at the end of the connection.
+    pub(crate) async fn receive(&mut self) -> Option<Result<Frame, FrameError>> {
+        self.frames.next().await
+    }
+
+    /// Queues a message and sends when enough is queued. A caller that does not read its answer
+    /// is given up at the deadline, so that it does not occupy an endpoint connection.
+    pub(crate) async fn feed(&mut self, frame: Frame, deadline: Instant) -> Result<(), FrameError> {
+        tokio::time::timeout_at(deadline.into(), self.frames.feed(frame))
+            .await
+            .map_err(|_| stalled())?
+    }
+
+    /// Sends what is queued.
+    pub(crate) async fn flush(&mut self, deadline: Instant) -> Result<(), FrameError> {
+        tokio::time::timeout_at(deadline.into(), self.frames.flush())
+            .await
+            .map_err(|_| stalled())?
+    }
+}
+
+fn stalled() -> FrameError {
+    FrameError::Io(std::io::ErrorKind::TimedOut.into())
+}
--- /dev/null
+++ b/crates/daemon/src/front/context.rs
@@ -0,0 +1,38 @@
+//! What all sessions share.
+
+use std::sync::Arc;
+
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_core::ids::DataCentreId;
+use magnoliahatch_core::ids::HostId;
+use tokio::sync::watch;
+
+use crate::databases::directory::Directory;
+use crate::front::cancel::Cancels;
+use crate::limits::Limits;
+use crate::metrics::Metrics;
+
+/// What all sessions share.
+#[derive(Debug)]
+pub struct Context {
+    pub host: HostId,
+    pub data_centre: DataCentreId,
+    pub config: watch::Receiver<Arc<ConfigView>>,
+    pub limits: Arc<Limits>,
+    pub directory: Arc<Directory>,
+    pub metrics: Metrics,
+    /// True once a planned stop began.
+    pub stop: watch::Receiver<bool>,
+    pub(crate) cancels: Cancels,
+}
+
+impl Context {
+    /// Whether sessions end as soon as they are between transactions.
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.stop.borrow()
+            || !self
+                .config
+                .borrow()
+                .host_in_service(&self.host, &self.data_centre)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/message.rs
@@ -0,0 +1,136 @@
+//! Messages of the extended protocol, read as far as the proxy needs.
+
+use bytes::Bytes;
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::classify;
+use magnoliahatch_core::prepared::Prepared;
+use magnoliahatch_core::session::Session;
+
+use crate::front::refusal::Refusal;
+use crate::wire::fields::Fields;
+use crate::wire::frame::Frame;
+use crate::wire::frame_error::FrameError;
+use crate::wire::tag;
+
+/// Target bytes of Describe and Close.
+const STATEMENT: u8 = b'S';
+const PORTAL: u8 = b'P';
+
+/// One message of the extended protocol with its statement resolved.
+#[derive(Debug, Clone)]
+pub(crate) enum Message {
+    Parse {
+        name: String,
+        statement: Prepared,
+    },
+    Bind {
+        portal: String,
+        statement: Prepared,
+        /// Parameters and formats as the caller sent them.
+        rest: Bytes,
+    },
+    DescribeStatement(Prepared),
+    DescribePortal {
+        portal: String,
+        frame: Frame,
+    },
+    Execute {
+        portal: String,
+        frame: Frame,
+    },
+    CloseStatement(String),
+    ClosePortal(Frame),
+}
+
+impl Message {
+    /// Reads a message; statements are looked up in, or added to, the session.
+    pub(crate) fn read(
+        frame: Frame,
+        organisation: &str,
+        session: &mut Session,
+    ) -> Result<Self, Refusal> {
+        let mut fields = Fields::of(&frame);
+        match frame.tag() {
+            tag::PARSE => {
+                let name = fields.text()?;
+                let sql = fields.text()?;
+                let classes = classify::classify(&sql)?;
+                if let Some(refusal) = unsupported(&classes) {
+                    return Err(refusal);
+                }
+                let types = fields.rest().to_vec();
+                let statement = Prepared::new(organisation, sql, types, classes);
+                if !session.prepare(name.clone(), statement.clone()) {
+                    return Err(Refusal::TooManyStatements);
+                }
+                Ok(Self::Parse { name, statement })
+            }
+            tag::BIND => {
+                let portal = fields.text()?;
+                let statement = find(session, fields.text()?)?;
+                let rest = fields.rest();
+                Ok(Self::Bind {
+                    portal,
+                    statement,
+                    rest,
+                })
+            }
+            tag::EXECUTE => {
+                let portal = fields.text()?;
+                Ok(Self::Execute { portal, frame })
+            }
+            tag::DESCRIBE => match fields.byte()? {
+                STATEMENT => Ok(Self::DescribeStatement(find(session, fields.text()?)?)),
+                PORTAL => Ok(Self::DescribePortal {
+                    portal: fields.text()?,
+                    frame,
+                }),
+                _ => Err(malformed(&frame)),
+            },
+            tag::CLOSE => match fields.byte()? {
+                STATEMENT => {
+                    let name = fields.text()?;
+                    session.deallocate(Some(&name));
+                    Ok(Self::CloseStatement(name))
+                }
+                PORTAL => Ok(Self::ClosePortal(frame)),
+                _ => Err(malformed(&frame)),
+            },
+            other => Err(Refusal::Unexpected(char::from(other))),
+        }
+    }
+}
+
+/// Refusal of the first statement that is not supported.
+pub(crate) fn unsupported(classes: &[Class]) -> Option<Refusal> {
+    let own = |class: &Class| match class {
+        Class::Set(change) => change.is_own(),
+        Class::Show(_) | Class::DiscardAll | Class::Deallocate(_) => true,
+        _ => false,
+    };
+    if classes.len() > 1 && classes.iter().any(own) {
+        return Some(Refusal::Unsupported {
+            statement: "several statements with one that the proxy interprets",
+            alternative: "send SET magnoliahatch..., DISCARD and DEALLOCATE alone",
+        });
+    }
+    classes.iter().find_map(|class| match class {
+        Class::Unsupported {
+            statement,
+            alternative,
+        } => Some(Refusal::Unsupported {
+            statement,
+            alternative,
+        }),
+        _ => None,
+    })
+}
+
+fn find(session: &Session, name: String) -> Result<Prepared, Refusal> {
+    let statement = session.statement(&name).cloned();
+    statement.ok_or(Refusal::UnknownStatement(name))
+}
+
+fn malformed(frame: &Frame) -> Refusal {
+    FrameError::Malformed(char::from(frame.tag())).into()
+}
--- /dev/null
+++ b/crates/daemon/src/front/own.rs
@@ -0,0 +1,158 @@
+//! Statements that the proxy interprets itself.
+
+use std::time::Duration;
+
+use magnoliahatch_client::objects::kind;
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::position::LogPosition;
+use magnoliahatch_core::session::TxStatus;
+use magnoliahatch_core::token;
+use magnoliahatch_core::token::Token;
+use magnoliahatch_core::variable::SetVariable;
+
+use crate::front::refusal::Refusal;
+use crate::front::session::Session;
+use crate::wire::frame::Frame;
+use crate::wire::reply;
+
+pub(crate) const TOKEN: &str = "magnoliahatch.token";
+const REQUEST_ID: &str = "magnoliahatch.request_id";
+const MAX_AGE: &str = "magnoliahatch.max_age_ms";
+const DEADLINE: &str = "magnoliahatch.deadline_ms";
+/// Time limit of a request unless the session sets another.
+pub(crate) const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3600);
+/// Request ids are keys of a table.
+const REQUEST_ID_LIMIT: usize = 200;
+
+impl Session {
+    /// Runs one statement that the proxy interprets and returns its answer.
+    pub(crate) fn interpret(&mut self, class: &Class) -> Result<Vec<Frame>, Refusal> {
+        match class {
+            Class::Set(change) => {
+                self.set_own(change)?;
+                let verb = if change.value.is_some() {
+                    "SET"
+                } else {
+                    "RESET"
+                };
+                Ok(vec![reply::complete(verb)])
+            }
+            Class::Show(name) => {
+                let value = self.show_own(name)?;
+                let [_, row] = reply::one_row(name, &value);
+                Ok(vec![row, reply::complete("SHOW")])
+            }
+            Class::Deallocate(name) => {
+                if let Some(name) = name
+                    && self.state.statement(name).is_none()
+                {
+                    return Err(Refusal::UnknownStatement(name.clone()));
+                }
+                self.state.deallocate(name.as_deref());
+                let all = if name.is_some() { "" } else { " ALL" };
+                Ok(vec![reply::complete(&format!("DEALLOCATE{all}"))])
+            }
+            Class::DiscardAll if self.status() == TxStatus::Idle => {
+                self.state.discard();
+                self.request_id = None;
+                self.max_age = None;
+                Ok(vec![reply::complete("DISCARD ALL")])
+            }
+            _ => Err(Refusal::Unsupported {
+                statement: "DISCARD ALL inside a transaction",
+                alternative: "end the transaction first",
+            }),
+        }
+    }
+
+    /// Sets one of the proxy's variables, also from the startup message.
+    pub(crate) fn set_own(&mut self, change: &SetVariable) -> Result<(), Refusal> {
+        let value = change.plain_value();
+        let invalid = |reason| Refusal::Variable {
+            name: change.name.clone(),
+            reason,
+        };
+        match change.name.as_str() {
+            TOKEN => match value.filter(|value| !value.is_empty()) {
+                Some(text) => self.present_token(&text)?,
+                None => self.seen = None,
+            },
+            REQUEST_ID => {
+                let id = value.filter(|id| !id.is_empty());
+                if id.as_ref().is_some_and(|id| id.len() > REQUEST_ID_LIMIT) {
+                    return Err(invalid("it is longer than 200 bytes"));
+                }
+                self.request_id = id;
+            }
+            MAX_AGE => self.max_age = milliseconds(value).map_err(invalid)?,
+            DEADLINE => {
+                let limit = milliseconds(value).map_err(invalid)?;
+                self.time_limit = limit.unwrap_or(DEFAULT_DEADLINE).min(LONGEST_DEADLINE);
+            }
+            _ => return Err(invalid("the proxy has no such variable")),
+        }
+        Ok(())
+    }
+
+    fn show_own(&self, name: &str) -> Result<String, Refusal> {
+        match name {
+            TOKEN => Ok(self.token().unwrap_or_default()),
+            REQUEST_ID => Ok(self.request_id.clone().unwrap_or_default()),
+            MAX_AGE => Ok(self.accepted_age().as_millis().to_string()),
+            DEADLINE => Ok(self.time_limit.as_millis().to_string()),
+            _ => Err(Refusal::Variable {
+                name: name.to_owned(),
+                reason: "the proxy has no such variable",
+            }),
+        }
+    }
+
+    /// Token for the position that the session has seen; none without a signing key.
+    pub(crate) fn token(&self) -> Option<String> {
+        let token = Token {
+            database: self.identity.database.clone(),
+            organisation: self.identity.organisation.clone(),
+            position: self.seen?,
+        };
+        Some(token.encode(&self.token_key()?))
+    }
+
+    /// Oldest data that the session's reads accept: the contract's age or a lower one.
+    pub(crate) fn accepted_age(&self) -> Duration {
+        let view = self.context.config.borrow();
+        let contract = view.contracts.get(&self.identity.organisation);
+        let agreed = Duration::from_millis(contract.map_or(0, |c| c.max_age_ms));
+        self.max_age.map_or(agreed, |age| age.min(agreed))
+    }
+
+    /// Records a position that the caller has seen.
+    pub(crate) fn saw(&mut self, position: LogPosition) {
+        self.seen = self.seen.max(Some(position));
+    }
+
+    fn present_token(&mut self, text: &str) -> Result<(), Refusal> {
+        let key = self.token_key().ok_or(Refusal::NoConfiguration)?;
+        let token = Token::decode(text, &key)?;
+        if token.organisation != self.identity.organisation
+            || token.database != self.identity.database
+        {
+            return Err(Refusal::ForeignToken);
+        }
+        self.saw(token.position);
+        Ok(())
+    }
+
+    fn token_key(&self) -> Option<Vec<u8>> {
+        let view = self.context.config.borrow();
+        let secret = view.secrets.get(kind::TOKEN_SECRET_NAME)?;
+        token::decode_key(&secret.key).ok()
+    }
+}
+
+fn milliseconds(value: Option<String>) -> Result<Option<Duration>, &'static str> {
+    value
+        .map(|text| text.parse().map(Duration::from_millis))
+        .transpose()
+        .map_err(|_| "it is not a whole number of milliseconds")
+}
--- /dev/null
+++ b/crates/daemon/src/front/relay.rs
@@ -0,0 +1,286 @@
+//! Passes an endpoint's answer to the caller.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::session::TxStatus;
+use thiserror::Error;
+
+use crate::front::client::Client;
+use crate::front::step::Step;
+use crate::pool::connection::Connection;
+use crate::pool::lease::Lease;
+use crate::wire::fields;
+use crate::wire::frame::Frame;
+use crate::wire::frame_error::FrameError;
+use crate::wire::tag;
+
+/// SQLSTATE of a member that serves reads only: nothing of the statement ran.
+const READ_ONLY: &str = "25006";
+/// A busy connection that was not heard for longer is retired when others are known to be silent.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Why an answer was not received completely.
+#[derive(Debug, Error)]
+pub(crate) enum RelayError {
+    #[error("{0}")]
+    Endpoint(FrameError),
+    #[error("the endpoint ended the connection")]
+    Closed,
+    #[error("no answer within the deadline")]
+    Timeout,
+    #[error("the endpoint answered out of order")]
+    Order,
+    #[error("the caller's connection failed: {0}")]
+    Client(FrameError),
+}
+
+/// One answer on its way from the endpoint to the caller.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    steps: VecDeque<Step>,
+    /// Whether the request is a simple query, whose answer ends only with ReadyForQuery.
+    simple: bool,
+    /// Messages kept back while the request may still be sent to another member.
+    early: Option<Vec<Frame>>,
+    /// Completion and what follows it, kept back until the answer is confirmed.
+    held: Vec<Frame>,
+    /// A COMMIT inside the request completed, so that everything after it is kept back too.
+    committed: bool,
+    /// ParseComplete messages received.
+    pub(crate) parsed: usize,
+    classes: VecDeque<Class>,
+    /// Statements that the endpoint completed.
+    pub(crate) completed: Vec<Class>,
+    /// SQLSTATE of the endpoint's error.
+    pub(crate) error: Option<String>,
+    /// Whether any part of the answer was passed to the caller.
+    pub(crate) relayed: bool,
+    deadline: Instant,
+}
+
+impl Relay {
+    /// Answer to a simple query.
+    pub(crate) fn simple(classes: &[Class], keep_early: bool, deadline: Instant) -> Self {
+        Self::new(VecDeque::new(), true, classes, keep_early, deadline)
+    }
+
+    /// Answer to messages of the extended protocol.
+    pub(crate) fn extended(steps: Vec<Step>, keep_early: bool, deadline: Instant) -> Self {
+        Self::new(steps.into(), false, &[], keep_early, deadline)
+    }
+
+    fn new(
+        steps: VecDeque<Step>,
+        simple: bool,
+        classes: &[Class],
+        keep_early: bool,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            steps,
+            simple,
+            early: keep_early.then(Vec::new),
+            held: Vec::new(),
+            committed: false,
+            parsed: 0,
+            classes: classes.iter().cloned().collect(),
+            completed: Vec::new(),
+            error: None,
+            relayed: false,
+            deadline,
+        }
+    }
+
+    /// Whether the whole request was refused by a member that serves reads only, before the
+    /// caller saw anything of the answer.
+    pub(crate) fn is_read_only(&self) -> bool {
+        self.early.is_some() && self.error.as_deref() == Some(READ_ONLY)
+    }
+
+    /// Reads up to ReadyForQuery, or without `to_ready` up to the last step's answer. The status
+    /// is none if the answer ended before ReadyForQuery.
+    pub(crate) async fn run(
+        &mut self,
+        lease: &mut Lease,
+        client: &mut Client,
+        to_ready: bool,
+    ) -> Result<Option<TxStatus>, RelayError> {
+        let mut silent = lease.pool().silent();
+        let sent = Instant::now();
+        loop {
+            self.answer_locally(client).await?;
+            if !to_ready && (self.steps.is_empty() || self.error.is_some()) {
+                return Ok(None);
+            }
+            let frame = tokio::select! {
+                biased;
+                frame = receive(lease.connection(), self.deadline) => frame?,
+                changed = silent.changed() => {
+                    let since = *silent.borrow_and_update();
+                    let heard = lease.connection().heard;
+                    if changed.is_ok() && since.is_some_and(|since| heard < since) {
+                        self.deadline = self.deadline.min(sent.max(heard) + SILENCE);
+                    }
+                    continue;
+                }
+            };
+            if frame.tag() == tag::READY {
+                let status = frame.body().first().copied().and_then(TxStatus::from_byte);
+                return status.map(Some).ok_or(RelayError::Order);
+            }
+            self.on_frame(frame, client).await?;
+        }
+    }
+
+    /// Sends what was kept back while the request could still be repeated elsewhere.
+    pub(crate) async fn release_early(&mut self, client: &mut Client) -> Result<(), RelayError> {
+        for frame in self.early.take().unwrap_or_default() {
+            self.pass(frame, client).await?;
+        }
+        Ok(())
+    }
+
+    /// Messages that wait for the confirmation.
+    pub(crate) fn take_held(&mut self) -> Vec<Frame> {
+        std::mem::take(&mut self.held)
+    }
+
+    async fn on_frame(&mut self, frame: Frame, client: &mut Client) -> Result<(), RelayError> {
+        match frame.tag() {
+            tag::NOTICE | tag::NOTIFICATION => return self.emit(frame, client).await,
+            tag::PARAMETER_STATUS => {
+                let swallow = matches!(self.steps.front(), Some(Step::Swallow(_)))
+                    || Connection::is_position(&frame);
+                return if swallow {
+                    Ok(())
+                } else {
+                    self.emit(frame, client).await
+                };
+            }
+            tag::ERROR => {
+                self.error = Some(fields::error_field(&frame, b'C').unwrap_or_default());
+                self.steps.clear();
+                return self.emit(frame, client).await;
+            }
+            // Copies are refused before they are sent, so the proxy cannot follow this answer.
+            tag::COPY_IN | tag::COPY_OUT | tag::COPY_BOTH => return Err(RelayError::Order),
+            _ => {}
+        }
+        if frame.tag() == tag::PARSE_COMPLETE {
+            self.parsed += 1;
+        }
+        if self.simple {
+            if matches!(frame.tag(), tag::COMMAND_COMPLETE | tag::EMPTY_QUERY) {
+                let class = self.classes.pop_front();
+                self.on_complete(&frame, class.into_iter().collect());
+            }
+            return self.emit(frame, client).await;
+        }
+        match self.steps.front_mut() {
+            Some(Step::Swallow(kind)) => {
+                if kind.ends_with(frame.tag()) {
+                    self.steps.pop_front();
+                }
+                Ok(())
+            }
+            Some(Step::Pass(kind, classes)) => {
+                if kind.ends_with(frame.tag()) {
+                    let classes = std::mem::take(classes);
+                    self.steps.pop_front();
+                    if frame.tag() == tag::COMMAND_COMPLETE {
+                        self.on_complete(&frame, classes);
+                    }
+                }
+                self.emit(frame, client).await
+            }
+            Some(Step::Local(_)) | None => Err(RelayError::Order),
+        }
+    }
+
+    fn on_complete(&mut self, frame: &Frame, classes: Vec<Class>) {
+        // COMMIT of a failed transaction rolls back, which only the command tag shows.
+        let rolled_back = frame.body().starts_with(b"ROLLBACK");
+        self.committed |= classes.contains(&Class::Commit);
+        self.completed.extend(classes.into_iter().map(|class| {
+            if rolled_back && class == Class::Commit {
+                Class::Rollback
+            } else {
+                class
+            }
+        }));
+    }
+
+    async fn answer_locally(&mut self, client: &mut Client) -> Result<(), RelayError> {
+        while matches!(self.steps.front(), Some(Step::Local(_))) {
+            if let Some(Step::Local(frames)) = self.steps.pop_front() {
+                for frame in frames {
+                    self.emit(frame, client).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn emit(&mut self, frame: Frame, client: &mut Client) -> Result<(), RelayError> {
+        let Some(early) = &mut self.early else {
+            return self.pass(frame, client).await;
+        };
+        // From the first row or completion on, the member has accepted the statement.
+        let accepted = matches!(
+            frame.tag(),
+            tag::DATA_ROW | tag::COMMAND_COMPLETE | tag::PORTAL_SUSPENDED | tag::EMPTY_QUERY
+        );
+        early.push(frame);
+        if accepted {
+            self.release_early(client).await?;
+        }
+        Ok(())
+    }
+
+    async fn pass(&mut self, frame: Frame, client: &mut Client) -> Result<(), RelayError> {
+        let completes = matches!(
+            frame.tag(),
+            tag::COMMAND_COMPLETE | tag::PORTAL_SUSPENDED | tag::EMPTY_QUERY
+        );
+        // An error tells that a commit before it in the same request took effect.
+        let follows = matches!(
+            frame.tag(),
+            tag::NOTICE | tag::PARAMETER_STATUS | tag::ERROR
+        );
+        let keeps = self.committed || (follows && !self.held.is_empty());
+        if keeps || completes {
+            if !keeps {
+                self.send_held(client).await?;
+            }
+            self.held.push(frame);
+            return Ok(());
+        }
+        self.send_held(client).await?;
+        self.send(frame, client).await
+    }
+
+    async fn send_held(&mut self, client: &mut Client) -> Result<(), RelayError> {
+        for frame in self.take_held() {
+            self.send(frame, client).await?;
+        }
+        Ok(())
+    }
+
+    async fn send(&mut self, frame: Frame, client: &mut Client) -> Result<(), RelayError> {
+        self.relayed = true;
+        let sent = client.feed(frame, self.deadline).await;
+        sent.map_err(RelayError::Client)
+    }
+}
+
+async fn receive(connection: &mut Connection, deadline: Instant) -> Result<Frame, RelayError> {
+    match tokio::time::timeout_at(deadline.into(), connection.receive()).await {
+        Ok(Ok(Some(frame))) => Ok(frame),
+        Ok(Ok(None)) => Err(RelayError::Closed),
+        Ok(Err(error)) => Err(RelayError::Endpoint(error)),
+        Err(_) => Err(RelayError::Timeout),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/session.rs
@@ -0,0 +1,392 @@
+//! Serves one caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::classify;
+use magnoliahatch_core::position::LogPosition;
+use magnoliahatch_core::session::TxStatus;
+use magnoliahatch_core::variable::SetVariable;
+use tokio::sync::watch;
+
+use crate::front::auth::Identity;
+use crate::front::batch;
+use crate::front::batch::Batch;
+use crate::front::batch::Portals;
+use crate::front::cancel::CallerKey;
+use crate::front::cancel::CancelSlot;
+use crate::front::client::Client;
+use crate::front::context::Context;
+use crate::front::execute::Failure;
+use crate::front::execute::Work;
+use crate::front::message;
+use crate::front::message::Message;
+use crate::front::own::DEFAULT_DEADLINE;
+use crate::front::refusal::Refusal;
+use crate::pool::lease::Lease;
+use crate::wire::fields::Fields;
+use crate::wire::frame::Frame;
+use crate::wire::frame_error::FrameError;
+use crate::wire::reply;
+use crate::wire::tag;
+
+/// Bytes that a caller may collect before Sync or Flush.
+const BATCH_LIMIT: usize = 64 * 1024 * 1024;
+/// Time to send the last message of a session.
+const GOODBYE: Duration = Duration::from_secs(2);
+
+/// Why a session ended.
+pub(crate) enum End {
+    /// The caller closed the connection, or it failed.
+    Closed,
+    Fatal(Refusal),
+}
+
+/// One caller's session.
+pub(crate) struct Session {
+    pub(crate) context: Arc<Context>,
+    pub(crate) client: Client,
+    pub(crate) identity: Identity,
+    pub(crate) state: magnoliahatch_core::session::Session,
+    /// Connection of the open transaction.
+    pub(crate) lease: Option<Lease>,
+    /// Position that the caller has seen.
+    pub(crate) seen: Option<LogPosition>,
+    pub(crate) max_age: Option<Duration>,
+    pub(crate) time_limit: Duration,
+    pub(crate) request_id: Option<String>,
+    pub(crate) portals: Portals,
+    /// The transaction was rolled back; the caller has yet to end it.
+    pub(crate) given_up: bool,
+    /// The endpoint has received messages that no Sync followed yet.
+    pub(crate) unsynced: bool,
+    /// An error was reported; messages up to the next Sync are ignored.
+    pub(crate) skipping: bool,
+    pub(crate) cancel: Arc<CancelSlot>,
+    key: CallerKey,
+    batch: Batch,
+    /// Reported with the next request.
+    postponed: Option<Refusal>,
+    config: watch::Receiver<Arc<magnoliahatch_client::config_view::ConfigView>>,
+    stop: watch::Receiver<bool>,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.context.cancels.remove(self.key);
+    }
+}
+
+impl Session {
+    pub(crate) fn new(context: Arc<Context>, client: Client, identity: Identity) -> Self {
+        let (key, cancel) = context.cancels.register();
+        let config = context.config.clone();
+        let stop = context.stop.clone();
+        Self {
+            context,
+            client,
+            identity,
+            state: Default::default(),
+            lease: None,
+            seen: None,
+            max_age: None,
+            time_limit: DEFAULT_DEADLINE,
+            request_id: None,
+            portals: Portals::new(),
+            given_up: false,
+            unsynced: false,
+            skipping: false,
+            cancel,
+            key,
+            batch: Batch::default(),
+            postponed: None,
+            config,
+            stop,
+        }
+    }
+
+    /// Key for cancel requests.
+    pub(crate) fn cancel_key(&self) -> CallerKey {
+        self.key
+    }
+
+    /// Status that the caller sees.
+    pub(crate) fn status(&self) -> TxStatus {
+        if self.given_up {
+            TxStatus::Failed
+        } else {
+            self.state.status
+        }
+    }
+
+    /// Sets a variable from the startup message.
+    pub(crate) fn set_at_start(&mut self, name: &str, value: &str) -> Result<(), Refusal> {
+        let quoted = format!("'{}'", value.replace('\'', "''"));
+        let sql = format!("SET {name} = {quoted}");
+        let class = classify::classify(&sql)?.into_iter().next();
+        match class {
+            Some(Class::Set(change)) if change.is_own() => self.set_own(&SetVariable {
+                value: Some(quoted),
+                ..change
+            }),
+            Some(Class::Set(change)) => {
+                self.state.set_variable(change.name, quoted);
+                Ok(())
+            }
+            _ => Err(Refusal::Variable {
+                name: name.to_owned(),
+                reason: "it cannot be set by the startup message",
+            }),
+        }
+    }
+
+    /// Serves the caller until the session ends.
+    pub(crate) async fn serve(mut self) {
+        let end = loop {
+            if let Err(end) = self.next().await {
+                break end;
+            }
+        };
+        if let End::Fatal(refusal) = end {
+            tracing::debug!(event = 203, code = refusal.code(), %refusal, "session ended");
+            let deadline = Instant::now() + GOODBYE;
+            let metrics = &self.context.metrics;
+            metrics.refusal(&self.identity.organisation, refusal.code());
+            if self
+                .client
+                .feed(refusal.frame(true), deadline)
+                .await
+                .is_ok()
+            {
+                let _ = self.client.flush(deadline).await;
+            }
+        }
+    }
+
+    /// Waits for one message and handles it.
+    async fn next(&mut self) -> Result<(), End> {
+        self.check()?;
+        let idle = self.idle_limit();
+        let timer = async move {
+            match idle {
+                Some(limit) => tokio::time::sleep(limit).await,
+                None => std::future::pending().await,
+            }
+        };
+        let frame = tokio::select! {
+            biased;
+            frame = self.client.receive() => frame,
+            changed = self.config.changed() => {
+                return changed.map_err(|_| End::Fatal(Refusal::Draining));
+            }
+            changed = self.stop.changed() => {
+                return changed.map_err(|_| End::Fatal(Refusal::Draining));
+            }
+            () = timer => {
+                tracing::info!(
+                    event = 204,
+                    organisation = self.identity.organisation,
+                    "transaction idle for too long; rolled back"
+                );
+                self.abandon().await;
+                self.unsynced = false;
+                self.given_up = true;
+                self.postponed = Some(Refusal::IdleTransaction);
+                return Ok(());
+            }
+        };
+        match frame {
+            None | Some(Err(FrameError::Io(_))) => Err(End::Closed),
+            Some(Err(error)) => Err(End::Fatal(error.into())),
+            Some(Ok(frame)) => {
+                self.check()?;
+                self.on_frame(frame).await
+            }
+        }
+    }
+
+    /// Whether the session may go on: its key, its route and, between transactions, its host.
+    fn check(&self) -> Result<(), End> {
+        if !self.identity.is_allowed(&self.context.config.borrow()) {
+            return Err(End::Fatal(Refusal::Withdrawn));
+        }
+        let between = self.status() == TxStatus::Idle
+            && self.lease.is_none()
+            && self.batch.messages.is_empty()
+            && !self.skipping;
+        if between && self.context.is_draining() {
+            return Err(End::Fatal(Refusal::Draining));
+        }
+        Ok(())
+    }
+
+    fn idle_limit(&self) -> Option<Duration> {
+        self.lease.as_ref()?;
+        let view = self.context.config.borrow();
+        let contract = view.contracts.get(&self.identity.organisation)?;
+        Some(Duration::from_millis(contract.idle_in_transaction_ms))
+    }
+
+    async fn on_frame(&mut self, frame: Frame) -> Result<(), End> {
+        match frame.tag() {
+            tag::TERMINATE => return Err(End::Closed),
+            tag::SYNC if self.skipping => {
+                self.skipping = false;
+                self.batch = Batch::default();
+                return self.resynchronise().await;
+            }
+            _ if self.skipping => return Ok(()),
+            tag::QUERY => {
+                let result = self.on_query(frame).await;
+                return self.report(result, true).await;
+            }
+            tag::SYNC | tag::FLUSH => {
+                let to_ready = frame.tag() == tag::SYNC;
+                let batch = std::mem::take(&mut self.batch);
+                let result = self.on_batch(batch, to_ready).await;
+                return self.report(result, to_ready).await;
+            }
+            // Remains of a copy that was refused.
+            tag::COPY_DATA | tag::COPY_DONE | tag::COPY_FAIL => return Ok(()),
+            tag::FUNCTION_CALL => {
+                let refusal = Refusal::Unsupported {
+                    statement: "function call message",
+                    alternative: "use SELECT",
+                };
+                return self.report(Err(refusal.into()), true).await;
+            }
+            _ => {}
+        }
+        let collected = self.collect(frame);
+        if let Err(Refusal::Unexpected(found)) = collected {
+            return Err(End::Fatal(Refusal::Unexpected(found)));
+        }
+        match collected {
+            Ok(()) => Ok(()),
+            Err(refusal) => self.report(Err(refusal.into()), false).await,
+        }
+    }
+
+    /// Adds a message of the extended protocol to the batch.
+    fn collect(&mut self, frame: Frame) -> Result<(), Refusal> {
+        self.batch.size += frame.raw().len();
+        if self.batch.size > BATCH_LIMIT {
+            return Err(Refusal::Protocol(FrameError::TooLarge {
+                tag: char::from(frame.tag()),
+                length: u32::try_from(self.batch.size).unwrap_or(u32::MAX),
+                limit: BATCH_LIMIT,
+            }));
+        }
+        let message = Message::read(frame, &self.identity.organisation, &mut self.state)?;
+        if let Some(class) = self.batch.push(message, &mut self.portals) {
+            let frames = self.interpret(&class)?;
+            self.batch.answer_last(frames);
+        }
+        Ok(())
+    }
+
+    async fn on_query(&mut self, frame: Frame) -> Result<(), Failure> {
+        if let Some(refusal) = self.postponed.take() {
+            return Err(refusal.into());
+        }
+        let sql = Fields::of(&frame).text()?;
+        let classes = classify::classify(&sql)?;
+        if self.given_up {
+            if !matches!(classes.as_slice(), [Class::Rollback | Class::Commit]) {
+                return Err(Refusal::Aborted.into());
+            }
+            self.given_up = false;
+            return self.answer(vec![reply::complete("ROLLBACK")], true).await;
+        }
+        if let Some(refusal) = message::unsupported(&classes) {
+            return Err(refusal.into());
+        }
+        if batch::is_own(&classes) {
+            let mut frames = self.interpret(&classes[0])?;
+            if let Class::Show(name) = &classes[0] {
+                let [description, _] = reply::one_row(name, "");
+                frames.insert(0, description);
+            }
+            return self.answer(frames, true).await;
+        }
+        if classes.is_empty() {
+            return self
+                .answer(vec![Frame::new(tag::EMPTY_QUERY, &[])], true)
+                .await;
+        }
+        self.run(&Work::Query { frame, classes }, true).await
+    }
+
+    async fn on_batch(&mut self, batch: Batch, to_ready: bool) -> Result<(), Failure> {
+        if let Some(refusal) = self.postponed.take() {
+            return Err(refusal.into());
+        }
+        if self.given_up {
+            let frames = batch.rollback_answers().ok_or(Refusal::Aborted)?;
+            self.given_up = !batch.executes();
+            return self.answer(frames, to_ready).await;
+        }
+        if !self.unsynced
+            && let Some(frames) = batch.local_answers()
+        {
+            return self.answer(frames, to_ready).await;
+        }
+        let names: Vec<String> = batch.prepared_names().map(str::to_owned).collect();
+        let result = self.run(&Work::Batch(batch), to_ready).await;
+        if result.is_err() {
+            // The caller does not know these statements, and may prepare them again.
+            for name in names {
+                self.state.deallocate(Some(&name));
+            }
+        }
+        result
+    }
+
+    /// Sends an answer that needed no endpoint.
+    async fn answer(&mut self, frames: Vec<Frame>, to_ready: bool) -> Result<(), Failure> {
+        let deadline = Instant::now() + self.time_limit;
+        let ready = to_ready.then(|| reply::ready(self.status()));
+        for frame in frames.into_iter().chain(ready) {
+            let sent = self.client.feed(frame, deadline).await;
+            sent.map_err(|_| Failure::End(End::Closed))?;
+        }
+        let flushed = self.client.flush(deadline).await;
+        flushed.map_err(|_| Failure::End(End::Closed))
+    }
+
+    /// Reports a refusal; a transaction that it meets is rolled back, as after any error.
+    async fn report(&mut self, result: Result<(), Failure>, to_ready: bool) -> Result<(), End> {
+        let refusal = match result {
+            Ok(()) => return Ok(()),
+            Err(Failure::End(end)) => return Err(end),
+            Err(Failure::Refused(refusal)) => refusal,
+        };
+        tracing::debug!(event = 205, code = refusal.code(), %refusal, "request refused");
+        let metrics = &self.context.metrics;
+        metrics.refusal(&self.identity.organisation, refusal.code());
+        if self.state.status != TxStatus::Idle || self.lease.is_some() {
+            self.given_up |= self.state.status != TxStatus::Idle;
+            self.abandon().await;
+            self.unsynced = false;
+        }
+        self.skipping = !to_ready;
+        self.batch = Batch::default();
+        match self.answer(vec![refusal.frame(false)], to_ready).await {
+            Ok(()) => Ok(()),
+            Err(Failure::End(end)) => Err(end),
+            Err(Failure::Refused(refusal)) => Err(End::Fatal(refusal)),
+        }
+    }
+
+    /// Sync after an error: also at the endpoint if it still waits for one.
+    async fn resynchronise(&mut self) -> Result<(), End> {
+        let result = if self.unsynced {
+            self.run(&Work::Batch(Batch::default()), true).await
+        } else {
+            self.answer(Vec::new(), true).await
+        };
+        self.report(result, true).await
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/step.rs
@@ -0,0 +1,120 @@
+//! Steps of one request and the answers that belong to them.
+
+use bytes::BufMut;
+use bytes::BytesMut;
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::link::Link;
+use magnoliahatch_core::prepared::Prepared;
+
+use crate::wire::frame::Frame;
+use crate::wire::tag;
+
+/// What the endpoint answers to one message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Parse,
+    Bind,
+    Describe,
+    Execute,
+    Close,
+}
+
+impl Kind {
+    /// Whether a message of this type ends the answer.
+    pub(crate) fn ends_with(self, found: u8) -> bool {
+        match self {
+            Self::Parse => found == tag::PARSE_COMPLETE,
+            Self::Bind => found == tag::BIND_COMPLETE,
+            Self::Describe => matches!(found, tag::ROW_DESCRIPTION | tag::NO_DATA),
+            Self::Execute => matches!(
+                found,
+                tag::COMMAND_COMPLETE | tag::EMPTY_QUERY | tag::PORTAL_SUSPENDED
+            ),
+            Self::Close => found == tag::CLOSE_COMPLETE,
+        }
+    }
+}
+
+/// One step of a request.
+#[derive(Debug, Clone)]
+pub(crate) enum Step {
+    /// The answer goes to the caller. Classes are those that an Execute completes.
+    Pass(Kind, Vec<Class>),
+    /// The answer belongs to a message that the proxy added.
+    Swallow(Kind),
+    /// The proxy answers without the endpoint.
+    Local(Vec<Frame>),
+}
+
+/// Messages for the endpoint and the steps by which their answers are read.
+#[derive(Debug, Default)]
+pub(crate) struct Script {
+    pub(crate) frames: Vec<Frame>,
+    pub(crate) steps: Vec<Step>,
+    /// Shared names of the statements that the script parses.
+    pub(crate) parsed: Vec<String>,
+    /// Whether the script closes a statement to make room.
+    pub(crate) closes: bool,
+}
+
+impl Script {
+    /// Adds a message whose answer goes to the caller.
+    pub(crate) fn pass(&mut self, kind: Kind, frame: Frame, classes: Vec<Class>) {
+        self.frames.push(frame);
+        self.steps.push(Step::Pass(kind, classes));
+    }
+
+    /// Adds a statement that the proxy needs; a failure skips the messages that follow.
+    pub(crate) fn prepare(&mut self, sql: &str) {
+        let mut parse = BytesMut::new();
+        parse.put_u8(0);
+        parse.put_slice(sql.as_bytes());
+        // Terminator and no parameter types.
+        parse.put_slice(&[0, 0, 0]);
+        self.swallow(Kind::Parse, Frame::new(tag::PARSE, &parse));
+        // Unnamed portal and statement, no formats, parameters or result formats.
+        self.swallow(Kind::Bind, Frame::new(tag::BIND, &[0; 8]));
+        // Unnamed portal, no row limit.
+        self.swallow(Kind::Execute, Frame::new(tag::EXECUTE, &[0; 5]));
+    }
+
+    /// Adds a Parse under the shared name unless the connection has the statement.
+    pub(crate) fn parse(&mut self, statement: &Prepared, link: &mut Link, pass: bool) {
+        if link.has_statement(&statement.shared_name) {
+            if pass {
+                let complete = Frame::new(tag::PARSE_COMPLETE, &[]);
+                self.steps.push(Step::Local(vec![complete]));
+            }
+            return;
+        }
+        if let Some(oldest) = link.add_statement(&statement.shared_name) {
+            self.closes = true;
+            let mut close = vec![b'S'];
+            close.extend_from_slice(oldest.as_bytes());
+            close.push(0);
+            self.swallow(Kind::Close, Frame::new(tag::CLOSE, &close));
+        }
+        self.parsed.push(statement.shared_name.clone());
+        let mut parse = BytesMut::new();
+        put_text(&mut parse, &statement.shared_name);
+        put_text(&mut parse, &statement.sql);
+        parse.put_slice(&statement.types);
+        let frame = Frame::new(tag::PARSE, &parse);
+        if pass {
+            self.pass(Kind::Parse, frame, Vec::new());
+        } else {
+            self.swallow(Kind::Parse, frame);
+        }
+    }
+
+    fn swallow(&mut self, kind: Kind, frame: Frame) {
+        self.frames.push(frame);
+        self.steps.push(Step::Swallow(kind));
+    }
+}
+
+/// Appends a zero-terminated text.
+pub(crate) fn put_text(body: &mut BytesMut, text: &str) {
+    body.put_slice(text.as_bytes());
+    body.put_u8(0);
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,10 +2,16 @@
 
 pub mod admin;
 pub mod config;
+pub mod confirm;
+pub mod daemon;
+pub mod databases;
 pub mod election;
 pub mod front;
 pub mod limits;
 pub mod mesh;
+pub mod metrics;
 pub mod monitor;
 pub mod pool;
 pub mod settings;
+pub mod verbs;
+pub mod wire;
--- /dev/null
+++ b/crates/daemon/src/pool/connection.rs
@@ -0,0 +1,186 @@
+//! One connection to a member.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::SinkExt;
+use futures::StreamExt;
+use magnoliahatch_core::link::Link;
+use magnoliahatch_core::position::LogPosition;
+use pgwire::messages::Message;
+use pgwire::messages::startup::Startup;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+use crate::pool::open_error::OpenError;
+use crate::pool::open_slot::OpenSlot;
+use crate::pool::socket;
+use crate::wire::fields;
+use crate::wire::fields::Fields;
+use crate::wire::frame::Frame;
+use crate::wire::frame_codec::FrameCodec;
+use crate::wire::frame_error::FrameError;
+use crate::wire::reply;
+use crate::wire::tag;
+
+/// PostgreSQL's own limit for one message.
+const FRAME_LIMIT: usize = 0x3fff_ffff;
+/// ParameterStatus by which members report positions.
+const POSITION: &str = "platform_position";
+
+/// Identifies a connection towards the member in a cancel request.
+#[derive(Debug, Clone)]
+pub struct BackendKey {
+    pub address: SocketAddr,
+    /// Process id and secret as the member sent them.
+    pub body: Bytes,
+}
+
+/// One connection to a member.
+#[derive(Debug)]
+pub struct Connection {
+    frames: Framed<TcpStream, FrameCodec>,
+    pub key: BackendKey,
+    pub link: Link,
+    /// Position that came with the last answer.
+    pub position: Option<LogPosition>,
+    /// When the member last sent anything.
+    pub heard: Instant,
+    /// Place in the pool's count of open connections.
+    pub(crate) slot: Option<OpenSlot>,
+}
+
+impl Connection {
+    /// Connects and starts a session as `user`.
+    pub async fn open(
+        address: SocketAddr,
+        user: &str,
+        database: &str,
+        deadline: Instant,
+    ) -> Result<Self, OpenError> {
+        let opening = Self::start(address, user, database);
+        match tokio::time::timeout_at(deadline.into(), opening).await {
+            Ok(result) => result,
+            Err(_) => Err(OpenError::Timeout),
+        }
+    }
+
+    async fn start(address: SocketAddr, user: &str, database: &str) -> Result<Self, OpenError> {
+        let mut stream = socket::connect(address).await?;
+        let mut startup = Startup::new();
+        startup
+            .parameters
+            .insert("user".to_owned(), user.to_owned());
+        startup
+            .parameters
+            .insert("database".to_owned(), database.to_owned());
+        let mut raw = bytes::BytesMut::new();
+        startup
+            .encode(&mut raw)
+            .map_err(|_| OpenError::Protocol(FrameError::Malformed('-')))?;
+        stream.write_all(&raw).await?;
+        let mut connection = Self {
+            frames: Framed::new(stream, FrameCodec::new(FRAME_LIMIT)),
+            key: BackendKey {
+                address,
+                body: Bytes::new(),
+            },
+            link: Link::fresh(),
+            position: None,
+            heard: Instant::now(),
+            slot: None,
+        };
+        loop {
+            let frame = connection.receive().await?.ok_or(OpenError::Closed)?;
+            match frame.tag() {
+                tag::AUTHENTICATION if Fields::of(&frame).int32()? == 0 => {}
+                tag::AUTHENTICATION => return Err(OpenError::Authentication),
+                tag::BACKEND_KEY => connection.key.body = frame.body(),
+                tag::ERROR => return Err(refused(&frame)),
+                tag::READY => return Ok(connection),
+                _ => {}
+            }
+        }
+    }
+
+    /// Queues a message and sends when enough is queued.
+    pub async fn feed(&mut self, frame: Frame) -> Result<(), FrameError> {
+        self.frames.feed(frame).await
+    }
+
+    /// Sends what is queued.
+    pub async fn flush(&mut self) -> Result<(), FrameError> {
+        self.frames.flush().await
+    }
+
+    /// Next message; none at the end of the connection. Positions are recorded on the way.
+    pub async fn receive(&mut self) -> Result<Option<Frame>, FrameError> {
+        let Some(frame) = self.frames.next().await.transpose()? else {
+            return Ok(None);
+        };
+        self.heard = Instant::now();
+        if frame.tag() == tag::PARAMETER_STATUS {
+            let (name, value) = fields::parameter(&frame)?;
+            if name == POSITION {
+                self.position = value.parse().ok();
+            }
+        }
+        Ok(Some(frame))
+    }
+
+    /// Whether a message is one by which the member reports its position.
+    pub fn is_position(frame: &Frame) -> bool {
+        frame.tag() == tag::PARAMETER_STATUS && frame.body().starts_with(POSITION.as_bytes())
+    }
+
+    /// Runs one simple query outside any session and returns its rows as text.
+    pub async fn rows(&mut self, sql: &str) -> Result<Vec<Vec<Option<String>>>, OpenError> {
+        self.feed(reply::query(sql)).await?;
+        self.flush().await?;
+        let mut rows = Vec::new();
+        let mut failure = None;
+        loop {
+            let frame = self.receive().await?.ok_or(OpenError::Closed)?;
+            match frame.tag() {
+                tag::DATA_ROW => rows.push(fields::columns(&frame)?),
+                tag::ERROR => failure = Some(refused(&frame)),
+                tag::READY => break,
+                _ => {}
+            }
+        }
+        failure.map_or(Ok(rows), Err)
+    }
+
+    /// Whether nothing arrived unasked, which on an idle connection shows that it ended or that a
+    /// late answer is still coming.
+    pub fn is_quiet(&mut self) -> bool {
+        self.frames.read_buffer().is_empty()
+            && matches!(
+                self.frames.get_ref().try_read(&mut [0]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock
+            )
+    }
+
+    /// Asks for an answer without running anything.
+    pub async fn ping(&mut self) -> Result<(), OpenError> {
+        self.feed(Frame::new(tag::SYNC, &[])).await?;
+        self.flush().await?;
+        loop {
+            let frame = self.receive().await?.ok_or(OpenError::Closed)?;
+            match frame.tag() {
+                tag::READY => return Ok(()),
+                tag::ERROR => return Err(refused(&frame)),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn refused(frame: &Frame) -> OpenError {
+    OpenError::Refused {
+        code: fields::error_field(frame, b'C').unwrap_or_default(),
+        message: fields::error_field(frame, b'M').unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pool/lease.rs
@@ -0,0 +1,49 @@
+//! Use of a pooled connection by one session.
+
+use std::sync::Arc;
+
+use magnoliahatch_core::session::TxStatus;
+
+use crate::limits::ConnectionPermit;
+use crate::pool::connection::Connection;
+use crate::pool::member_pool::MemberPool;
+
+/// A connection that one session uses. Dropping the lease closes the connection; only
+/// `give_back` returns it to the pool.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Arc<MemberPool>,
+    connection: Option<Connection>,
+    _permit: ConnectionPermit,
+}
+
+impl Lease {
+    pub(crate) fn new(
+        pool: Arc<MemberPool>,
+        connection: Connection,
+        permit: ConnectionPermit,
+    ) -> Self {
+        Self {
+            pool,
+            connection: Some(connection),
+            _permit: permit,
+        }
+    }
+
+    pub fn pool(&self) -> &Arc<MemberPool> {
+        &self.pool
+    }
+
+    pub fn connection(&mut self) -> &mut Connection {
+        self.connection
+            .as_mut()
+            .expect("only give_back and drop take the connection")
+    }
+
+    /// Returns the connection to the pool if it may serve another session.
+    pub fn give_back(mut self, status: TxStatus) {
+        if let Some(connection) = self.connection.take_if(|c| c.link.reusable(status)) {
+            self.pool.give_back(connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pool/member_pool.rs
@@ -0,0 +1,192 @@
+//! Pooled connections to one member.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::MemberId;
+use tokio::sync::watch;
+
+use crate::limits::LimitError;
+use crate::limits::Limits;
+use crate::pool::connection::Connection;
+use crate::pool::lease::Lease;
+use crate::pool::open_error::OpenError;
+use crate::pool::open_slot::OpenSlot;
+
+/// User of data connections.
+const DATA_USER: &str = "proxy";
+/// An idle connection that was silent for longer is asked for an answer before use.
+const CHECK_AFTER: Duration = Duration::from_millis(500);
+/// Time for that answer, and for opening a connection: about 12 ms are usual.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Why no connection could be leased; nothing was sent.
+#[derive(Debug, thiserror::Error)]
+pub enum LeaseError {
+    #[error(transparent)]
+    Limit(#[from] LimitError),
+    #[error(transparent)]
+    Open(#[from] OpenError),
+}
+
+/// Pooled connections to one member.
+#[derive(Debug)]
+pub struct MemberPool {
+    pub database: DatabaseId,
+    pub member: MemberId,
+    pub address: SocketAddr,
+    limits: Arc<Limits>,
+    state: Mutex<State>,
+    /// Open connections, busy or idle.
+    open: Arc<AtomicU32>,
+    /// Connections that were last heard before this moment are considered silent.
+    silent: watch::Sender<Option<Instant>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    idle: Vec<Connection>,
+    allowance: u32,
+}
+
+impl MemberPool {
+    /// Starts a pool; it follows the allowance until it is dropped.
+    pub fn spawn(
+        database: DatabaseId,
+        member: MemberId,
+        address: SocketAddr,
+        limits: Arc<Limits>,
+    ) -> Arc<Self> {
+        let mut allowance = limits.allowance(&database, &member);
+        let first = *allowance.borrow_and_update();
+        let pool = Arc::new(Self {
+            database,
+            member,
+            address,
+            limits,
+            state: Mutex::new(State {
+                allowance: first,
+                ..State::default()
+            }),
+            open: Arc::default(),
+            silent: watch::Sender::new(None),
+        });
+        let weak = Arc::downgrade(&pool);
+        tokio::spawn(async move {
+            while allowance.changed().await.is_ok() {
+                let Some(pool) = weak.upgrade() else { break };
+                let value = *allowance.borrow_and_update();
+                pool.set_allowance(value);
+            }
+        });
+        pool
+    }
+
+    /// Leases a connection, preferably one that already carries the organisation.
+    pub async fn lease(
+        self: &Arc<Self>,
+        organisation: &str,
+        deadline: Instant,
+    ) -> Result<Lease, LeaseError> {
+        let permit = self
+            .limits
+            .connection(&self.database, &self.member, organisation, deadline)
+            .await?;
+        while let Some(mut connection) = self.take_idle(organisation) {
+            if connection.heard.elapsed() < CHECK_AFTER {
+                return Ok(Lease::new(Arc::clone(self), connection, permit));
+            }
+            let check = tokio::time::timeout(CHECK_TIMEOUT, connection.ping()).await;
+            let asked = Instant::now() - CHECK_TIMEOUT;
+            match check {
+                Ok(Ok(())) => return Ok(Lease::new(Arc::clone(self), connection, permit)),
+                Ok(Err(_)) => {}
+                Err(_) => self.on_silence(asked),
+            }
+        }
+        let slot = OpenSlot::new(&self.open);
+        let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
+        let mut connection =
+            Connection::open(self.address, DATA_USER, &self.database, limit).await?;
+        connection.slot = Some(slot);
+        Ok(Lease::new(Arc::clone(self), connection, permit))
+    }
+
+    /// A connection did not answer a request that was sent at `sent`. If a new connection works,
+    /// every connection that was not heard since is retired.
+    pub fn on_silence(self: &Arc<Self>, sent: Instant) {
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            let limit = Instant::now() + CHECK_TIMEOUT;
+            let probe = Connection::open(pool.address, DATA_USER, &pool.database, limit).await;
+            if probe.is_ok() {
+                tracing::warn!(
+                    event = 210,
+                    database = pool.database,
+                    member = pool.member,
+                    "a connection went silent while a new one works; retiring the silent ones"
+                );
+                pool.retire(sent);
+            }
+        });
+    }
+
+    /// Closes idle connections not heard since a moment and tells the busy ones.
+    fn retire(&self, since: Instant) {
+        let mut state = self.state();
+        state.idle.retain(|connection| connection.heard >= since);
+        drop(state);
+        self.silent.send_replace(Some(since));
+    }
+
+    /// Moment before which busy connections must have been heard, updated by `retire`.
+    pub(crate) fn silent(&self) -> watch::Receiver<Option<Instant>> {
+        self.silent.subscribe()
+    }
+
+    /// Takes a connection back; closes it if it is beyond the allowance.
+    pub(crate) fn give_back(&self, connection: Connection) {
+        let mut state = self.state();
+        if self.open_connections() <= state.allowance {
+            state.idle.push(connection);
+        }
+    }
+
+    /// Number of open connections, busy or idle.
+    pub fn open_connections(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn set_allowance(&self, allowance: u32) {
+        let mut state = self.state();
+        state.allowance = allowance;
+        while self.open_connections() > state.allowance && !state.idle.is_empty() {
+            state.idle.remove(0);
+        }
+    }
+
+    fn take_idle(&self, organisation: &str) -> Option<Connection> {
+        let mut state = self.state();
+        while !state.idle.is_empty() {
+            let carries = |c: &Connection| c.link.organisation() == Some(organisation);
+            let at = state.idle.iter().rposition(carries);
+            let at = at.unwrap_or(state.idle.len() - 1);
+            let mut connection = state.idle.remove(at);
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+}
--- a/crates/daemon/src/pool/mod.rs
+++ b/crates/daemon/src/pool/mod.rs
@@ -1,1 +1,8 @@
 //! Pooled connections to endpoints.
+
+pub mod connection;
+pub mod lease;
+pub mod member_pool;
+pub mod open_error;
+mod open_slot;
+pub(crate) mod socket;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,1 +1,105 @@
 //! Settings of the entry daemon.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use magnoliahatch_client::logs::LogFormat;
+use magnoliahatch_core::ids::DataCentreId;
+use magnoliahatch_core::ids::HostId;
+use serde::Deserialize;
+
+/// Contents of the settings file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    pub host: HostId,
+    pub region: String,
+    pub data_centre: DataCentreId,
+    pub listen: Listen,
+    pub store: Store,
+    /// Certificate for callers; without it callers connect without TLS.
+    pub tls: Option<Tls>,
+    /// Certificates for the messages between daemons.
+    pub control_tls: Option<ControlTls>,
+    #[serde(default)]
+    pub log: Log,
+    pub metrics: Option<Metrics>,
+    /// Longest time that a planned stop waits for open transactions.
+    #[serde(default = "default_stop")]
+    pub stop_timeout_ms: u64,
+}
+
+/// Addresses to bind; port 0 lets the system choose.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    pub sql: SocketAddr,
+    pub admin: SocketAddr,
+    pub control: SocketAddr,
+}
+
+/// The platform's object store.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    pub url: String,
+}
+
+/// Certificate chain and private key, as PEM files.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    pub cert: PathBuf,
+    pub key: PathBuf,
+}
+
+/// Certificates of the messages between daemons, as PEM files.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlTls {
+    pub ca: PathBuf,
+    pub cert: PathBuf,
+    pub key: PathBuf,
+}
+
+/// Log output on standard error.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    pub format: LogFormat,
+    pub filter: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::default(),
+            filter: "info".to_owned(),
+        }
+    }
+}
+
+/// Where statsd metrics are sent.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Metrics {
+    pub statsd: SocketAddr,
+    #[serde(default = "default_prefix")]
+    pub prefix: String,
+}
+
+impl Settings {
+    /// Longest time that a planned stop waits for open transactions.
+    pub fn stop_timeout(&self) -> Duration {
+        Duration::from_millis(self.stop_timeout_ms)
+    }
+}
+
+fn default_stop() -> u64 {
+    30_000
+}
+
+fn default_prefix() -> String {
+    "magnoliahatch".to_owned()
+}
--- /dev/null
+++ b/crates/daemon/src/wire/fields.rs
@@ -0,0 +1,95 @@
+//! Reads the fields of a message body; never panics on malformed bodies.
+
+use bytes::Buf;
+use bytes::Bytes;
+
+use crate::wire::frame::Frame;
+use crate::wire::frame_error::FrameError;
+use crate::wire::tag;
+
+/// Cursor over a message body.
+#[derive(Debug)]
+pub struct Fields {
+    tag: u8,
+    rest: Bytes,
+}
+
+impl Fields {
+    pub fn of(frame: &Frame) -> Self {
+        Self {
+            tag: frame.tag(),
+            rest: frame.body(),
+        }
+    }
+
+    /// Next zero-terminated text.
+    pub fn text(&mut self) -> Result<String, FrameError> {
+        let end = self.rest.iter().position(|byte| *byte == 0);
+        let end = end.ok_or_else(|| self.malformed())?;
+        let text = self.rest.split_to(end);
+        self.rest.advance(1);
+        String::from_utf8(text.into()).map_err(|_| self.malformed())
+    }
+
+    pub fn byte(&mut self) -> Result<u8, FrameError> {
+        self.rest.try_get_u8().map_err(|_| self.malformed())
+    }
+
+    pub fn int16(&mut self) -> Result<u16, FrameError> {
+        self.rest.try_get_u16().map_err(|_| self.malformed())
+    }
+
+    pub fn int32(&mut self) -> Result<i32, FrameError> {
+        self.rest.try_get_i32().map_err(|_| self.malformed())
+    }
+
+    /// Next `length` bytes.
+    pub fn bytes(&mut self, length: usize) -> Result<Bytes, FrameError> {
+        if self.rest.len() < length {
+            return Err(self.malformed());
+        }
+        Ok(self.rest.split_to(length))
+    }
+
+    /// Everything that was not read yet.
+    pub fn rest(self) -> Bytes {
+        self.rest
+    }
+
+    fn malformed(&self) -> FrameError {
+        FrameError::Malformed(char::from(self.tag))
+    }
+}
+
+/// One field of an ErrorResponse or NoticeResponse, for instance `C` for the SQLSTATE.
+pub fn error_field(frame: &Frame, wanted: u8) -> Option<String> {
+    let mut fields = Fields::of(frame);
+    loop {
+        match fields.byte().ok()? {
+            0 => return None,
+            code if code == wanted => return fields.text().ok(),
+            _ => fields.text().ok().map(drop)?,
+        }
+    }
+}
+
+/// Name and value of a ParameterStatus.
+pub fn parameter(frame: &Frame) -> Result<(String, String), FrameError> {
+    let mut fields = Fields::of(frame);
+    Ok((fields.text()?, fields.text()?))
+}
+
+/// Columns of a DataRow as text.
+pub fn columns(frame: &Frame) -> Result<Vec<Option<String>>, FrameError> {
+    let mut fields = Fields::of(frame);
+    let count = fields.int16()?;
+    (0..count)
+        .map(|_| match usize::try_from(fields.int32()?) {
+            Ok(length) => String::from_utf8(fields.bytes(length)?.into())
+                .map(Some)
+                .map_err(|_| FrameError::Malformed(char::from(tag::DATA_ROW))),
+            // A negative length stands for NULL.
+            Err(_) => Ok(None),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/wire/reply.rs
@@ -0,0 +1,63 @@
+//! Messages that the proxy composes itself.
+
+use magnoliahatch_core::outcome::Outcome;
+use magnoliahatch_core::session::TxStatus;
+use pgwire::messages::response::CommandComplete;
+use pgwire::messages::response::ErrorResponse;
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::startup::ParameterStatus;
+
+use crate::wire::frame::Frame;
+use crate::wire::tag;
+
+/// ReadyForQuery.
+pub fn ready(status: TxStatus) -> Frame {
+    Frame::new(tag::READY, &[status.as_byte()])
+}
+
+/// CommandComplete.
+pub fn complete(command: &str) -> Frame {
+    Frame::of(&CommandComplete::new(command.to_owned()))
+}
+
+/// ParameterStatus.
+pub fn parameter(name: &str, value: &str) -> Frame {
+    Frame::of(&ParameterStatus::new(name.to_owned(), value.to_owned()))
+}
+
+/// Query.
+pub fn query(sql: &str) -> Frame {
+    Frame::of(&Query::new(sql.to_owned()))
+}
+
+/// ErrorResponse whose DETAIL tells what became of the request.
+pub fn error(severity: &str, code: &str, message: &str, outcome: Outcome, hint: &str) -> Frame {
+    let mut fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', code.to_owned()),
+        (b'M', message.replace('\0', "")),
+        (b'D', format!("outcome={outcome}")),
+    ];
+    if !hint.is_empty() {
+        fields.push((b'H', hint.replace('\0', "")));
+    }
+    Frame::of(&ErrorResponse::new(fields))
+}
+
+/// RowDescription and DataRow of one text value.
+pub fn one_row(column: &str, value: &str) -> [Frame; 2] {
+    let mut description = vec![0, 1];
+    description.extend_from_slice(column.as_bytes());
+    // Terminator, no table, no column number, type text (25) of variable size, text format.
+    description.extend_from_slice(&[0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 25]);
+    description.extend_from_slice(&[0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0]);
+    let mut row = vec![0, 1];
+    let length = u32::try_from(value.len()).unwrap_or(0);
+    row.extend_from_slice(&length.to_be_bytes());
+    row.extend_from_slice(value.as_bytes());
+    [
+        Frame::new(tag::ROW_DESCRIPTION, &description),
+        Frame::new(tag::DATA_ROW, &row),
+    ]
+}
