Add the database member stand-in

The daemon needs a member of a database group to be tested against. The stand-in serves simple and extended queries with typed parameters and results on SQLite, keeps a log of committed write transactions with term and index, replicates it by pulls with a settable apply lag, and offers the platform verbs with one grant per term and truncation of a diverged tail. It can be frozen, silenced and made slow, and records what it receives.

--- /dev/null
+++ b/crates/bench/tests/member/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the member stand-in through the protocol.
+
+mod control;
+mod group;
+mod sql;
+mod support;
+mod transactions;
