--- a/crates/bench/src/member/engine.rs
+++ b/crates/bench/src/member/engine.rs
@@ -85,9 +85,9 @@
         })
     }
 
-    /// Whether the connection holds the write lock.
-    pub(crate) fn is_writing(&self) -> bool {
-        self.writing.is_some()
+    /// Term in which the connection holds the write lock.
+    pub(crate) fn writing_term(&self) -> Option<Term> {
+        self.writing.as_ref().map(|writing| writing.term)
     }
 
     /// Waits until the applied state can be read and opens its current generation.
--- a/crates/bench/src/member/session.rs
+++ b/crates/bench/src/member/session.rs
@@ -93,11 +93,10 @@
         self.ready().await?;
         let mut leading = self.shared.leading.subscribe();
         loop {
-            leading.borrow_and_update();
-            let writing = self.executor.engine.is_writing();
+            let writing = self.executor.engine.writing_term();
             let message = tokio::select! {
                 message = self.wire.read() => message?,
-                _ = leading.changed(), if writing => {
+                _ = leading.wait_for(|term| *term != writing), if writing.is_some() => {
                     self.executor.engine.rollback();
                     return Err(SqlError::fatal(
                         "57P01",
