--- a/crates/daemon/src/front/batch.rs
+++ b/crates/daemon/src/front/batch.rs
@@ -69,7 +69,7 @@
                     }
                 }
             }
-            Message::CloseStatement(_) => {
+            Message::CloseStatement => {
                 self.answer(index, vec![Frame::new(tag::CLOSE_COMPLETE, &[])]);
             }
             _ => {}
@@ -112,7 +112,7 @@
                 }
                 Message::DescribePortal { .. } => frames.push(Frame::new(tag::NO_DATA, &[])),
                 Message::Execute { .. } => frames.push(reply::complete("ROLLBACK")),
-                Message::CloseStatement(_) | Message::ClosePortal(_) => {
+                Message::CloseStatement | Message::ClosePortal(_) => {
                     frames.push(Frame::new(tag::CLOSE_COMPLETE, &[]));
                 }
                 _ => return None,
@@ -179,7 +179,7 @@
                     script.pass(Kind::Close, frame.clone(), Vec::new());
                 }
                 // Connections keep shared statements until they are pushed out.
-                Message::CloseStatement(_) => {}
+                Message::CloseStatement => {}
             }
         }
         script
--- a/crates/daemon/src/front/cancel.rs
+++ b/crates/daemon/src/front/cancel.rs
@@ -1,6 +1,7 @@
 //! Cancel requests of callers.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -46,9 +47,9 @@
         let mut slots = self.slots.lock().expect("no holder of this lock panics");
         loop {
             let key = rand::rng().random::<CallerKey>();
-            if !slots.contains_key(&key) {
+            if let Entry::Vacant(free) = slots.entry(key) {
                 let slot = Arc::<CancelSlot>::default();
-                slots.insert(key, Arc::clone(&slot));
+                free.insert(Arc::clone(&slot));
                 return (key, slot);
             }
         }
--- a/crates/daemon/src/front/message.rs
+++ b/crates/daemon/src/front/message.rs
@@ -38,7 +38,7 @@
         portal: String,
         frame: Frame,
     },
-    CloseStatement(String),
+    CloseStatement,
     ClosePortal(Frame),
 }
 
@@ -91,7 +91,7 @@
                 STATEMENT => {
                     let name = fields.text()?;
                     session.deallocate(Some(&name));
-                    Ok(Self::CloseStatement(name))
+                    Ok(Self::CloseStatement)
                 }
                 PORTAL => Ok(Self::ClosePortal(frame)),
                 _ => Err(malformed(&frame)),
--- a/crates/daemon/src/front/refusal.rs
+++ b/crates/daemon/src/front/refusal.rs
@@ -65,8 +65,6 @@
     Protocol(#[from] FrameError),
     #[error("message type {0:?} is not expected here")]
     Unexpected(char),
-    #[error("request \"{0}\" already ran; its answer was too large to be kept")]
-    AlreadyRan(String),
 }
 
 impl Refusal {
@@ -92,7 +90,6 @@
             Self::Lost { outcome, .. } if *outcome == Outcome::NotRun => "57P03",
             Self::Lost { .. } | Self::Unconfirmed => "08007",
             Self::Variable { .. } | Self::Token(_) | Self::ForeignToken => "22023",
-            Self::AlreadyRan(_) => "23505",
         }
     }
 
@@ -101,7 +98,6 @@
         match self {
             Self::Lost { outcome, .. } => *outcome,
             Self::Unconfirmed => Outcome::Unknown,
-            Self::AlreadyRan(_) => Outcome::Ran,
             _ => Outcome::NotRun,
         }
     }
