--- /dev/null
+++ b/crates/core/tests/classify.rs
@@ -0,0 +1,163 @@
+//! Guards against a statement that changes something being sent to a replica or repeated.
+
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::classify::classify;
+use magnoliahatch_core::variable::SetVariable;
+use proptest::prelude::*;
+
+fn one(sql: &str) -> Class {
+    let classes = classify(sql).unwrap_or_else(|error| panic!("{sql}: {error}"));
+    assert_eq!(classes.len(), 1, "{sql}");
+    classes.into_iter().next().expect("one class")
+}
+
+#[test]
+fn plain_reads_are_reads() {
+    for sql in [
+        "SELECT 1",
+        "select a, count(*) from t where b in (1, 2) group by a having max(c) > 3",
+        "WITH x AS (SELECT a FROM t) SELECT * FROM x JOIN y USING (a)",
+        "VALUES (1), (2)",
+        "SHOW timezone",
+        "EXPLAIN SELECT * FROM t",
+        "SELECT coalesce(lower(name), 'x') FROM t ORDER BY 1 LIMIT 3",
+        "SELECT $1::int + 1 FROM t WHERE id = ANY($2)",
+        "SELECT 'INSERT INTO t' /* DELETE */ FROM t -- UPDATE",
+    ] {
+        assert_eq!(one(sql), Class::Read, "{sql}");
+    }
+}
+
+#[test]
+fn anything_not_certain_is_a_write() {
+    for sql in [
+        "INSERT INTO t VALUES (1)",
+        "SELECT nextval('s')",
+        "SELECT my_function(1)",
+        "SELECT \"lower\"('x')",
+        "SELECT myschema.lower('x')",
+        "SELECT * FROM f()",
+        "SELECT * FROM t FOR UPDATE",
+        "SELECT * FROM t FOR SHARE SKIP LOCKED",
+        "SELECT a INTO x FROM t",
+        "WITH x AS (DELETE FROM t RETURNING a) SELECT * FROM x",
+        "WITH x AS (SELECT 1) INSERT INTO t SELECT * FROM x",
+        "EXPLAIN ANALYZE DELETE FROM t",
+        "EXPLAIN ANALYZE SELECT f(1)",
+        "SELECT pg_advisory_xact_lock(1)",
+        "SELECT random()",
+        "TRUNCATE t",
+        "VACUUM t",
+        "CREATE TABLE t (a INT)",
+        "NOTIFY a",
+    ] {
+        assert_eq!(one(sql), Class::Write, "{sql}");
+    }
+}
+
+#[test]
+fn statements_that_stay_with_a_connection_are_refused() {
+    for sql in [
+        "COPY t FROM STDIN",
+        "copy (select 1) to stdout",
+        "LISTEN a",
+        "UNLISTEN *",
+        "CREATE TEMPORARY TABLE t (a INT)",
+        "CREATE TEMP VIEW v AS SELECT 1",
+        "SELECT 1 INTO TEMP x",
+        "SELECT pg_try_advisory_lock(1)",
+        "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+        "SET SESSION AUTHORIZATION x",
+        "SET LOCAL ROLE x",
+        "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
+        "RESET ROLE",
+        "SET role TO x",
+        "SET \"session_authorization\" TO x",
+        "SELECT set_config('a', 'b', false)",
+        "DO $$ BEGIN END $$",
+        "PREPARE TRANSACTION 'x'",
+        "COMMIT PREPARED 'x'",
+        "EXECUTE p",
+        "CREATE OR REPLACE FUNCTION f() RETURNS INT AS 'x' LANGUAGE sql",
+        "SET \"a; DROP TABLE t\" = 1",
+        "frobnicate the database",
+    ] {
+        let class = one(sql);
+        assert!(
+            matches!(class, Class::Unsupported { .. }),
+            "{sql}: {class:?}"
+        );
+    }
+}
+
+#[test]
+fn transaction_control_is_recognised() {
+    assert_eq!(one("BEGIN"), Class::Begin { read_only: false });
+    let read_only = "START TRANSACTION READ ONLY";
+    assert_eq!(one(read_only), Class::Begin { read_only: true });
+    assert_eq!(one("END"), Class::Commit);
+    assert_eq!(one("commit work"), Class::Commit);
+    assert_eq!(one("ABORT"), Class::Rollback);
+    assert_eq!(one("ROLLBACK"), Class::Rollback);
+    assert_eq!(one("SAVEPOINT a"), Class::Savepoint("a".to_owned()));
+    assert_eq!(
+        one("ROLLBACK TO SAVEPOINT a"),
+        Class::RollbackTo("a".to_owned())
+    );
+}
+
+#[test]
+fn variables_are_recognised() {
+    let set = |name: &str, value: Option<&str>, local| {
+        let (name, value) = (name.to_owned(), value.map(str::to_owned));
+        Class::Set(SetVariable { name, value, local })
+    };
+    assert_eq!(one("SET x TO 'a''b'"), set("x", Some("'a''b'"), false));
+    assert_eq!(one("SET LOCAL x = 1"), set("x", Some("1"), true));
+    assert_eq!(
+        one("SET search_path = a, b"),
+        set("search_path", Some("a, b"), false)
+    );
+    assert_eq!(
+        one("SET TIME ZONE 'UTC'"),
+        set("timezone", Some("'UTC'"), false)
+    );
+    assert_eq!(one("SET x TO DEFAULT"), set("x", None, false));
+    assert_eq!(one("RESET x"), set("x", None, false));
+    assert_eq!(one("RESET ALL"), set("", None, false));
+    let token = set("magnoliahatch.token", Some("'a.b'"), false);
+    assert_eq!(one("set Magnoliahatch.Token = 'a.b'"), token);
+    assert_eq!(
+        one("SHOW magnoliahatch.token"),
+        Class::Show("magnoliahatch.token".to_owned())
+    );
+    assert_eq!(one("DEALLOCATE ALL"), Class::Deallocate(None));
+    assert_eq!(one("DISCARD ALL"), Class::DiscardAll);
+}
+
+#[test]
+fn each_statement_of_a_text_has_its_class() {
+    let classes = classify("SELECT 1;; INSERT INTO t VALUES (';'); ").expect("classified");
+    assert_eq!(classes, [Class::Read, Class::Write]);
+    assert_eq!(classify(" ; -- nothing").expect("classified"), []);
+    assert!(classify("SELECT 'open").is_err());
+}
+
+proptest! {
+    /// A write inside any read-like frame must not be taken for a read.
+    #[test]
+    fn changing_words_are_never_reads(
+        verb in prop::sample::select(vec!["INSERT", "update", "Delete", "MERGE", "truncate"]),
+        before in "(SELECT|WITH|EXPLAIN|VALUES)( [a-z(),*]{1,8}){0,4} ",
+        after in "( [a-z(),*]{1,8}){0,4}",
+    ) {
+        if let Ok(classes) = classify(&format!("{before}{verb}{after}")) {
+            prop_assert!(classes.iter().all(|class| *class != Class::Read), "{classes:?}");
+        }
+    }
+
+    #[test]
+    fn any_text_is_classified_without_panic(sql in "\\PC{0,80}") {
+        let _ = classify(&sql);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,154 @@
+//! Guards against reads on replicas that lack what the session has seen or are too old.
+
+use std::time::Duration;
+
+use magnoliahatch_core::group_view::GroupView;
+use magnoliahatch_core::member_view::MemberView;
+use magnoliahatch_core::position::LogPosition;
+use magnoliahatch_core::position_ring::PositionRing;
+use magnoliahatch_core::role::Role;
+use magnoliahatch_core::route::Choice;
+use magnoliahatch_core::route::ReadNeed;
+use magnoliahatch_core::route::choose;
+use proptest::prelude::*;
+
+const TERM: u64 = 3;
+
+fn member(role: Role, applied: u64, heard: u64) -> MemberView {
+    MemberView {
+        reachable: true,
+        role,
+        term: TERM,
+        last_term: TERM,
+        received: applied,
+        applied,
+        heard: Duration::from_millis(heard),
+    }
+}
+
+fn group(applied: &[u64], heard: &[u64]) -> GroupView {
+    let mut view = GroupView {
+        term: TERM,
+        primary: Some("m0".to_owned()),
+        ..GroupView::default()
+    };
+    view.members
+        .insert("m0".to_owned(), member(Role::Primary, 0, 0));
+    for (at, (applied, heard)) in applied.iter().zip(heard).enumerate() {
+        let name = format!("m{}", at + 1);
+        view.members
+            .insert(name, member(Role::Replica, *applied, *heard));
+    }
+    view
+}
+
+fn position(index: u64) -> LogPosition {
+    LogPosition { term: TERM, index }
+}
+
+proptest! {
+    /// Writes happen at known times. Whatever the ring holds, a chosen replica has the position
+    /// that the session has seen and every write that is older than the accepted age.
+    #[test]
+    fn chosen_replica_is_current_enough(
+        gaps in prop::collection::vec(1..200u64, 1..60),
+        sampled in prop::collection::vec(any::<bool>(), 60),
+        applied in prop::collection::vec(0..60u64, 2),
+        heard_ago in prop::collection::vec(0..500u64, 2),
+        seen in 0..60u64,
+        max_age in 0..2000u64,
+        turn in any::<usize>(),
+        capacity in 1..20usize,
+    ) {
+        let mut now = 0;
+        let mut writes = Vec::new();
+        let mut ring = PositionRing::new(capacity);
+        for (at, gap) in gaps.iter().enumerate() {
+            now += gap;
+            writes.push((now, at as u64 + 1));
+            if sampled[at] {
+                ring.record(Duration::from_millis(now), position(at as u64 + 1));
+            }
+        }
+        let heard: Vec<u64> = heard_ago.iter().map(|ago| u64::saturating_sub(now, *ago)).collect();
+        let view = group(&applied, &heard);
+        let need = ReadNeed { seen: Some(position(seen)), max_age: Duration::from_millis(max_age) };
+        let choice = choose(&view, &ring, need, Duration::from_millis(now), turn, |_| Some(0));
+        if let Choice::Replica(name) = choice {
+            let chosen = &view.members[&name];
+            prop_assert!(chosen.applied >= seen);
+            for (time, index) in writes {
+                prop_assert!(chosen.applied >= index || now - time <= max_age, "{time} {index}");
+            }
+            prop_assert!(Duration::from_millis(now) - chosen.heard <= need.max_age);
+        }
+    }
+}
+
+fn pick(view: &GroupView, need: ReadNeed) -> Choice {
+    let mut ring = PositionRing::new(8);
+    ring.record(Duration::from_millis(100), position(5));
+    choose(view, &ring, need, Duration::from_millis(110), 0, |_| {
+        Some(0)
+    })
+}
+
+const NEED: ReadNeed = ReadNeed {
+    seen: Some(LogPosition {
+        term: TERM,
+        index: 5,
+    }),
+    max_age: Duration::from_millis(50),
+};
+
+#[test]
+fn session_without_a_token_or_an_accepted_age_reads_from_the_primary() {
+    let view = group(&[5, 5], &[100, 100]);
+    assert!(matches!(pick(&view, NEED), Choice::Replica(_)));
+    assert_eq!(
+        pick(&view, ReadNeed { seen: None, ..NEED }),
+        Choice::Primary
+    );
+    let none = ReadNeed {
+        max_age: Duration::ZERO,
+        ..NEED
+    };
+    assert_eq!(pick(&view, none), Choice::Primary);
+}
+
+#[test]
+fn newer_term_in_the_token_asks_for_newer_information() {
+    let seen = Some(LogPosition {
+        term: TERM + 1,
+        index: 1,
+    });
+    assert_eq!(
+        pick(&group(&[5], &[100]), ReadNeed { seen, ..NEED }),
+        Choice::Refresh
+    );
+}
+
+#[test]
+fn replica_of_an_older_term_serves_nothing() {
+    let mut view = group(&[9], &[100]);
+    let replica = view.members.get_mut("m1").expect("exists");
+    replica.last_term = TERM - 1;
+    assert_eq!(pick(&view, NEED), Choice::Primary);
+    // Its log is of the term, but it granted a newer one: another primary may exist.
+    let mut view = group(&[9], &[100]);
+    view.members.get_mut("m1").expect("exists").term = TERM + 1;
+    assert_eq!(pick(&view, NEED), Choice::Primary);
+}
+
+#[test]
+fn lowest_cost_wins_and_members_out_of_service_are_left_out() {
+    let view = group(&[5, 5, 5], &[100, 100, 100]);
+    let mut ring = PositionRing::new(8);
+    ring.record(Duration::from_millis(100), position(5));
+    for turn in 0..4 {
+        let cost = |name: &String| (name != "m1").then_some(u32::from(name == "m2"));
+        let now = Duration::from_millis(110);
+        let choice = choose(&view, &ring, NEED, now, turn, cost);
+        assert_eq!(choice, Choice::Replica("m3".to_owned()));
+    }
+}
