Test changes of primary while callers write

Four tests elect a new primary with the verbs while three writers run: no acknowledged write is lost, no write reported as not run exists, writes with an id run once.

--- a/crates/bench/tests/path/main.rs
+++ b/crates/bench/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod basics;
+mod failover;
 mod lifecycle;
 mod requests;
 mod routing;
--- a/crates/bench/tests/path/support.rs
+++ b/crates/bench/tests/path/support.rs
@@ -110,7 +110,7 @@
     pub(crate) store: StoreServer,
     pub(crate) ash: CreatedKey,
     pub(crate) oak: CreatedKey,
-    _dir: tempfile::TempDir,
+    dir: tempfile::TempDir,
 }
 
 impl World {
@@ -153,7 +153,7 @@
             store,
             ash,
             oak,
-            _dir: dir,
+            dir,
         };
         let client = world.connect_when_ready().await;
         let table = "CREATE TABLE t (id INT PRIMARY KEY, note TEXT)";
@@ -184,6 +184,11 @@
         open(&self.config(organisation)).await.expect("connects")
     }
 
+    /// Directory for settings files.
+    pub(crate) fn path(&self) -> &Path {
+        self.dir.path()
+    }
+
     /// Replaces an object of the store.
     pub(crate) async fn put(&self, kind: &str, name: &str, value: Value) {
         let client = StoreClient::open(&self.store.url()).expect("opens");
@@ -237,24 +242,35 @@
 
 /// Calls a function of a member directly; the first column of its answer.
 pub(crate) async fn control(address: SocketAddr, call: &str) -> String {
+    row(address, call).await.remove(0)
+}
+
+/// Calls a function of a member directly; its answer.
+pub(crate) async fn row(address: SocketAddr, call: &str) -> Vec<String> {
     let mut config = Config::new();
     config
         .host("127.0.0.1")
         .port(address.port())
         .user("platform");
     let client = open(&config).await.expect("connects");
-    value(&client, &format!("SELECT * FROM {call}")).await
+    first_row(&client, &format!("SELECT * FROM {call}")).await
 }
 
 /// First column of the first row, as text.
 pub(crate) async fn value(client: &Client, sql: &str) -> String {
+    first_row(client, sql).await.remove(0)
+}
+
+async fn first_row(client: &Client, sql: &str) -> Vec<String> {
     let messages = client.simple_query(sql).await;
     let messages = messages.unwrap_or_else(|error| panic!("{sql}: {error:?}"));
     let first = messages.iter().find_map(|message| match message {
-        SimpleQueryMessage::Row(row) => Some(row.get(0).unwrap_or("NULL").to_owned()),
+        SimpleQueryMessage::Row(row) => Some(row),
         _ => None,
     });
-    first.unwrap_or_else(|| panic!("{sql} returned no row"))
+    let row = first.unwrap_or_else(|| panic!("{sql} returned no row"));
+    let text = |at| row.get(at).unwrap_or("NULL").to_owned();
+    (0..row.len()).map(text).collect()
 }
 
 /// SQLSTATE and outcome of a failure.
