--- a/crates/daemon/src/front/refusal.rs
+++ b/crates/daemon/src/front/refusal.rs
@@ -7,6 +7,7 @@
 
 use crate::limits::LimitError;
 use crate::pool::member_pool::LeaseError;
+use crate::pool::open_error::OpenError;
 use crate::wire::frame::Frame;
 use crate::wire::frame_error::FrameError;
 use crate::wire::reply;
@@ -63,10 +64,12 @@
     ForeignToken,
     #[error("protocol error: {0}")]
     Protocol(#[from] FrameError),
+    #[error("request \"{0}\" already ran; its answer was not kept")]
+    AlreadyRan(String),
+    #[error("the request could not be recorded: {0}")]
+    NotRecorded(OpenError),
     #[error("message type {0:?} is not expected here")]
     Unexpected(char),
-    #[error("request \"{0}\" already ran; its answer was too large to be kept")]
-    AlreadyRan(String),
 }
 
 impl Refusal {
@@ -81,6 +84,8 @@
             Self::NoContract(_) => "28000",
             Self::NoConfiguration | Self::Draining | Self::NoPrimary => "57P03",
             Self::Unreachable(_) => "57P03",
+            Self::AlreadyRan(_) => "23505",
+            Self::NotRecorded(_) => "40001",
             Self::Limited(_) => "53300",
             Self::Unsupported { .. } => "0A000",
             Self::Syntax(_) => "42601",
@@ -92,7 +97,6 @@
             Self::Lost { outcome, .. } if *outcome == Outcome::NotRun => "57P03",
             Self::Lost { .. } | Self::Unconfirmed => "08007",
             Self::Variable { .. } | Self::Token(_) | Self::ForeignToken => "22023",
-            Self::AlreadyRan(_) => "23505",
         }
     }
 
