Keep the daemon's configuration current from store and peers

Each daemon needs a view that follows the store, survives outages and can be filled by a peer. Announcer writes the host object, recognises lost answers and leaves the object to a successor.

--- /dev/null
+++ b/crates/daemon/src/config/handle.rs
@@ -0,0 +1,144 @@
+//! Handle to the configuration in force on this host.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use magnoliahatch_client::config_patch::ConfigPatch;
+use magnoliahatch_client::config_patch::Merged;
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::store::StoreClient;
+use magnoliahatch_core::ids::Revision;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tracing::info;
+use tracing::warn;
+
+use crate::config::stamp::Stamp;
+use crate::config::watcher;
+
+/// The configuration in force. Dropping the handle ends the task that watches the store.
+#[derive(Debug)]
+pub struct ConfigHandle {
+    shared: Arc<Shared>,
+    _closing: oneshot::Sender<()>,
+}
+
+impl ConfigHandle {
+    /// Starts to watch the store. The view is empty until the store or a peer fills it.
+    pub fn spawn(store: StoreClient) -> Self {
+        let shared = Arc::new(Shared::default());
+        let (closing, closed) = oneshot::channel();
+        let task = watcher::run(store, Arc::clone(&shared));
+        tokio::spawn(async move {
+            tokio::select! {
+                () = task => {}
+                _ = closed => {}
+            }
+        });
+        Self {
+            shared,
+            _closing: closing,
+        }
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> Arc<ConfigView> {
+        Arc::clone(&self.shared.view.borrow())
+    }
+
+    /// Publishes every later view; a slow receiver skips to the newest.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<ConfigView>> {
+        self.shared.view.subscribe()
+    }
+
+    /// Publishes how recent the view is.
+    pub fn stamps(&self) -> watch::Receiver<Stamp> {
+        self.shared.stamp.subscribe()
+    }
+
+    /// Waits until the store or a peer has delivered a complete configuration.
+    pub async fn filled(&self) -> Arc<ConfigView> {
+        let mut views = self.subscribe();
+        match views.wait_for(|view| view.filled).await {
+            Ok(view) => Arc::clone(&view),
+            // The sender lives in `shared`, so the channel is open as long as this handle.
+            Err(_) => self.view(),
+        }
+    }
+
+    /// Changes for a peer at revision `after`; none before the view is filled.
+    pub fn patch(&self, after: Revision) -> Option<ConfigPatch> {
+        self.view().patch(after)
+    }
+
+    /// Merges changes from a peer. On a gap, the caller asks the peer for a patch after the
+    /// view's revision.
+    pub fn merge(&self, patch: &ConfigPatch) -> Merged {
+        let was_filled = self.view().filled;
+        let merged = self.shared.merge(patch);
+        if !was_filled && self.view().filled {
+            info!(
+                event = 104,
+                revision = patch.revision,
+                "configuration loaded from a peer"
+            );
+        }
+        merged
+    }
+
+    /// Records that a peer knew `revision` to be the store's newest at `at`, on this host's clock.
+    /// The caller derives `at` from when it sent its request, less the age that the peer states.
+    pub fn confirm(&self, revision: Revision, at: Instant) {
+        if self.view().revision >= revision {
+            self.shared
+                .stamp
+                .send_modify(|stamp| stamp.record_current(at));
+        }
+    }
+}
+
+/// State shared by the handle and the watching task.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    pub(super) view: watch::Sender<Arc<ConfigView>>,
+    pub(super) stamp: watch::Sender<Stamp>,
+}
+
+impl Shared {
+    /// Merges a patch into the view.
+    pub(super) fn merge(&self, patch: &ConfigPatch) -> Merged {
+        self.update(|view| {
+            let merged = view.merge(patch);
+            (merged, merged.changed)
+        })
+    }
+
+    /// Changes the view under the channel's lock, so that the store's task and peers never
+    /// overwrite each other's changes. `change` also returns whether to publish.
+    pub(super) fn update<T>(&self, change: impl FnOnce(&mut ConfigView) -> (T, bool)) -> T {
+        let mut result = None;
+        self.view.send_if_modified(|view| {
+            let mut next = ConfigView::clone(view);
+            let (value, changed) = change(&mut next);
+            result = Some(value);
+            if changed {
+                report_unreadable(view, &next);
+                *view = Arc::new(next);
+            }
+            changed
+        });
+        result.expect("send_if_modified always calls its closure")
+    }
+}
+
+fn report_unreadable(before: &ConfigView, after: &ConfigView) {
+    for ((kind, name), version) in &after.unreadable {
+        let key = (kind.clone(), name.clone());
+        if before.unreadable.get(&key) != Some(version) {
+            warn!(
+                event = 103,
+                kind, name, version, "object cannot be read; its previous value stays in force"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/config.rs
@@ -0,0 +1,194 @@
+//! Guards against a configuration that reverts, stops following the store or cannot be had in an
+//! outage.
+
+mod store_support;
+
+use std::time::Instant;
+
+use magnoliahatch_bench::store::fault::Answer;
+use magnoliahatch_bench::store::fault::Fault;
+use magnoliahatch_client::objects::host_status::HostStatus;
+use magnoliahatch_client::objects::kind;
+use magnoliahatch_client::store::StoreClient;
+use magnoliahatch_daemon::config::announcer::Announcer;
+use magnoliahatch_daemon::config::handle::ConfigHandle;
+use serde_json::json;
+use store_support::LIMIT;
+use store_support::contract;
+use store_support::put;
+use store_support::store;
+use store_support::store_at;
+use store_support::until;
+
+const DOWN: Fault = Fault::Down {
+    answer: Answer::Refuse,
+};
+const SILENT: Fault = Fault::Down {
+    answer: Answer::Silent,
+};
+
+fn rate(config: &ConfigHandle, organisation: &str) -> Option<f64> {
+    let view = config.view();
+    view.contracts.get(organisation).map(|found| found.rate)
+}
+
+#[tokio::test]
+async fn change_is_in_force_on_nine_hosts() {
+    let (_server, store) = store();
+    let hosts: Vec<_> = (0..9).map(|_| ConfigHandle::spawn(store.clone())).collect();
+    for host in &hosts {
+        host.filled().await;
+    }
+    let start = Instant::now();
+    let version = put(&store, kind::CONTRACT, "a", 0, contract(5.0))
+        .await
+        .version;
+    for host in &hosts {
+        let mut views = host.subscribe();
+        let seen = views.wait_for(|view| view.revision >= version);
+        let seen = tokio::time::timeout(LIMIT, seen).await.unwrap().unwrap();
+        assert_eq!(seen.contracts["a"].rate, 5.0);
+    }
+    println!("in force on 9 hosts after {:?}", start.elapsed());
+    store.delete(kind::CONTRACT, "a", version).await.unwrap();
+    until("deletion is in force", || {
+        hosts.iter().all(|host| rate(host, "a").is_none())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn outage_keeps_the_view_and_ends_with_the_newest_changes() {
+    for fault in [DOWN, SILENT, Fault::Slow { delay_ms: 60_000 }] {
+        let (server, store) = store();
+        put(&store, kind::CONTRACT, "a", 0, contract(1.0)).await;
+        let config = ConfigHandle::spawn(store.clone());
+        config.filled().await;
+        let before = config.stamps().borrow().reached;
+        server.set_fault(fault);
+        // The second watch after the fault shows that the first one failed and was retried.
+        let watches = server.counts().watches;
+        until("retries", || server.counts().watches >= watches + 2).await;
+        assert_eq!(rate(&config, "a"), Some(1.0));
+        server.set_fault(Fault::None);
+        put(&store, kind::CONTRACT, "a", 1, contract(2.0)).await;
+        until("newest change", || rate(&config, "a") == Some(2.0)).await;
+        let after = config.stamps().borrow().reached;
+        assert!(before.is_some() && after > before);
+    }
+}
+
+#[tokio::test]
+async fn host_started_in_an_outage_is_filled_by_a_peer() {
+    let (server, store) = store();
+    put(&store, kind::CONTRACT, "a", 0, contract(1.0)).await;
+    let peer = ConfigHandle::spawn(store.clone());
+    peer.filled().await;
+    server.set_fault(DOWN);
+    let started = ConfigHandle::spawn(store.clone());
+    assert!(started.patch(0).is_none());
+    let patch = peer.patch(started.view().revision).unwrap();
+    assert!(!started.merge(&patch).gap);
+    assert_eq!(rate(&started, "a"), Some(1.0));
+    let stamp = *started.stamps().borrow();
+    assert_eq!((stamp.reached, stamp.current), (None, None));
+    let at = Instant::now();
+    started.confirm(patch.revision + 1, at);
+    assert_eq!(started.stamps().borrow().current, None);
+    started.confirm(patch.revision, at);
+    assert_eq!(started.stamps().borrow().current, Some(at));
+    server.set_fault(Fault::None);
+    put(&store, kind::CONTRACT, "a", 1, contract(2.0)).await;
+    until("change after the outage", || {
+        rate(&started, "a") == Some(2.0)
+    })
+    .await;
+    // The older patch arrives once more.
+    started.merge(&patch);
+    assert_eq!(rate(&started, "a"), Some(2.0));
+}
+
+#[tokio::test]
+async fn store_that_lost_its_changes_reverts_nothing() {
+    let (server, store) = store();
+    put(&store, kind::CONTRACT, "a", 0, contract(1.0)).await;
+    put(&store, kind::CONTRACT, "a", 1, contract(2.0)).await;
+    let config = ConfigHandle::spawn(store.clone());
+    config.filled().await;
+    let addr = server.addr();
+    server.close().await;
+    let (server, store) = store_at(addr);
+    put(&store, kind::CONTRACT, "a", 0, contract(1.0)).await;
+    until("two watches of the emptied store", || {
+        server.counts().watches >= 2
+    })
+    .await;
+    assert_eq!((rate(&config, "a"), config.view().revision), (Some(2.0), 2));
+}
+
+#[tokio::test]
+async fn dropped_handle_ends_the_watch() {
+    let (server, store) = store();
+    let config = ConfigHandle::spawn(store.clone());
+    until("a watch", || server.counts().watches > 0).await;
+    let mut views = config.subscribe();
+    drop(config);
+    // The channel closes when the task has released the shared state.
+    while views.changed().await.is_ok() {}
+}
+
+fn status(incarnation: u64) -> HostStatus {
+    let value = json!({"incarnation": incarnation, "data_centre": "zaria",
+        "sql": "127.0.0.1:1", "admin": "127.0.0.1:2", "control": "127.0.0.1:3"});
+    serde_json::from_value(value).unwrap()
+}
+
+async fn announce(store: &StoreClient, config: &ConfigHandle, incarnation: u64) -> Announcer {
+    let host = "h1".to_owned();
+    Announcer::spawn(store.clone(), config.subscribe(), host, status(incarnation))
+}
+
+async fn written(announcer: &Announcer, after: u64) -> u64 {
+    let mut written = announcer.written();
+    let version = written.wait_for(|version| version.is_some_and(|version| version > after));
+    let version = tokio::time::timeout(LIMIT, version).await.unwrap();
+    version.unwrap().unwrap()
+}
+
+#[tokio::test]
+async fn host_object_survives_lost_answers_deletion_and_an_older_run() {
+    let (server, store) = store();
+    let old = serde_json::to_value(status(1)).unwrap();
+    put(&store, kind::HOST, "h1", 0, old).await;
+    let config = ConfigHandle::spawn(store.clone());
+    config.filled().await;
+    server.set_fault(Fault::LostAnswer);
+    let announcer = announce(&store, &config, 2).await;
+    let version = written(&announcer, 0).await;
+    assert_eq!(version, 2, "the lost answer was not recognised");
+    server.set_fault(Fault::None);
+    until("view shows the host", || {
+        config.view().hosts["h1"].incarnation == 2
+    })
+    .await;
+    store.delete(kind::HOST, "h1", version).await.unwrap();
+    let version = written(&announcer, version).await;
+    assert_eq!(store.get(kind::HOST, "h1").await.unwrap().version, version);
+    announcer.withdraw().await.unwrap();
+    assert!(store.get(kind::HOST, "h1").await.is_err());
+}
+
+#[tokio::test]
+async fn replaced_host_object_is_left_to_its_new_owner() {
+    let (_server, store) = store();
+    let config = ConfigHandle::spawn(store.clone());
+    let first = announce(&store, &config, 1).await;
+    written(&first, 0).await;
+    let second = announce(&store, &config, 2).await;
+    let version = written(&second, 0).await;
+    // The first task's end shows that it has seen its successor.
+    let mut ended = first.written();
+    while ended.changed().await.is_ok() {}
+    first.withdraw().await.unwrap();
+    assert_eq!(store.get(kind::HOST, "h1").await.unwrap().version, version);
+}
