Add the administration API

Operators had no way to change contracts, keys, routes, databases and placements. Adds a client for the API, calls to list objects and to create the token secret, and the optional field member_rate of a database, from which contracts that cannot be met are recognised.

--- a/crates/client/src/admin.rs
+++ b/crates/client/src/admin.rs
@@ -1,5 +1,17 @@
 //! Types of the administration API that the daemon serves and the command line calls.
 
+pub mod client;
+pub mod client_error;
+pub mod contract_report;
+pub mod contract_terms;
+pub mod placement_body;
+pub mod problem;
+pub mod source;
+pub mod subject;
+pub mod switchover_done;
+pub mod switchover_order;
+pub mod versioned;
+
 use std::collections::BTreeMap;
 
 use magnoliahatch_core::ids::HostId;
@@ -30,6 +42,22 @@
     pub hosts: BTreeMap<HostId, HostReport>,
 }
 
+impl FleetStatus {
+    /// Whether a version is in force wherever work is accepted.
+    pub fn in_force(&self, version: Revision) -> bool {
+        self.revision >= version && self.behind(version).next().is_none()
+    }
+
+    /// Hosts that may still accept work under an older configuration. A host that no majority
+    /// vouches for refuses new work, so it is not waited for.
+    pub fn behind(&self, version: Revision) -> impl Iterator<Item = &HostId> {
+        self.hosts
+            .iter()
+            .filter(move |(_, host)| host.vouched && host.revision < version)
+            .map(|(name, _)| name)
+    }
+}
+
 /// One host's part of the fleet status.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 pub struct HostReport {
--- /dev/null
+++ b/crates/client/src/admin/switchover_done.rs
@@ -0,0 +1,14 @@
+//! Result of a switchover.
+
+use magnoliahatch_core::ids::MemberId;
+use magnoliahatch_core::ids::Term;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The new primary and its term.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct SwitchoverDone {
+    pub term: Term,
+    pub member: MemberId,
+}
--- a/crates/client/src/config_view.rs
+++ b/crates/client/src/config_view.rs
@@ -187,6 +187,12 @@
         self.last.get(&key)?.object.as_ref()
     }
 
+    /// All objects of a kind as received.
+    pub fn objects(&self, kind: &str) -> impl Iterator<Item = &StoredObject> {
+        let last = self.last.values().filter(move |c| c.kind == kind);
+        last.filter_map(|change| change.object.as_ref())
+    }
+
     /// Whether new work may go to this subject, for instance `endpoint/hire-1`.
     pub fn in_service(&self, subject: &str) -> bool {
         self.placements.get(subject) != Some(&Placement::Out)
--- a/crates/client/src/objects/database.rs
+++ b/crates/client/src/objects/database.rs
@@ -15,4 +15,8 @@
     pub connections: u32,
     /// Statements that one member executes at once.
     pub slots: u32,
+    /// Statements per second that one member can serve. When every database states it, contracts
+    /// whose rates exceed the total are refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub member_rate: Option<f64>,
 }
