--- a/crates/ctl/src/bin/magnoliahatch.rs
+++ b/crates/ctl/src/bin/magnoliahatch.rs
@@ -1,3 +1,21 @@
 //! Operator's command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use magnoliahatch_client::exit;
+use magnoliahatch_ctl::options::Options;
+use magnoliahatch_ctl::run;
+
+fn main() -> ExitCode {
+    let result = Options::parse().and_then(|options| match options {
+        Some(options) => run::run(&options),
+        None => Ok(()),
+    });
+    match result {
+        Ok(()) => ExitCode::from(exit::OK),
+        Err(error) => {
+            eprintln!("magnoliahatch: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/fleet.rs
@@ -0,0 +1,49 @@
+//! Commands on the installation as a whole.
+
+use magnoliahatch_client::admin::Accepted;
+use magnoliahatch_client::admin::FleetStatus;
+use magnoliahatch_client::admin::client::AdminClient;
+use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
+use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
+use magnoliahatch_core::ids::MemberId;
+
+use crate::commands::segment;
+use crate::error::CtlError;
+use crate::report::Report;
+
+pub(super) async fn switchover(
+    client: &AdminClient,
+    database: &str,
+    member: Option<MemberId>,
+) -> Result<Report, CtlError> {
+    let path = format!("/databases/{}/switchover", segment(database));
+    let order = SwitchoverOrder { member };
+    let done: SwitchoverDone = client.post(&path, Some(&order)).await?;
+    let row = vec![done.member.clone(), done.term.to_string()];
+    Report::new(&["PRIMARY", "TERM"], vec![row], &done)
+}
+
+pub(super) async fn create_secret(client: &AdminClient) -> Result<Report, CtlError> {
+    let accepted: Accepted = client.post("/secrets/token", None::<&()>).await?;
+    Report::accepted(&accepted)
+}
+
+pub(super) async fn status(client: &AdminClient) -> Result<Report, CtlError> {
+    let status: FleetStatus = client.get("/status").await?;
+    let yes = |flag: bool| if flag { "yes" } else { "no" }.to_owned();
+    let rows = status
+        .hosts
+        .iter()
+        .map(|(name, host)| {
+            vec![
+                name.clone(),
+                host.revision.to_string(),
+                yes(host.revision >= status.revision),
+                yes(host.vouched),
+                yes(host.draining),
+            ]
+        })
+        .collect();
+    let header = ["HOST", "REVISION", "CURRENT", "VOUCHED", "DRAINING"];
+    Report::new(&header, rows, &status)
+}
--- /dev/null
+++ b/crates/ctl/src/error.rs
@@ -0,0 +1,47 @@
+//! Failures of a command.
+
+use std::time::Duration;
+
+use magnoliahatch_client::admin::client_error::AdminClientError;
+use magnoliahatch_client::exit;
+use magnoliahatch_client::settings_error::SettingsError;
+use magnoliahatch_core::ids::Revision;
+use thiserror::Error;
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum CtlError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("--check needs --settings FILE")]
+    NothingToCheck,
+    #[error("no command is given; --help lists them")]
+    NoCommand,
+    #[error(transparent)]
+    Admin(#[from] AdminClientError),
+    #[error(
+        "version {version} is accepted, but after {} s not in force on {behind}; \
+         `magnoliahatch status` shows the progress",
+        limit.as_secs()
+    )]
+    NotInForce {
+        version: Revision,
+        limit: Duration,
+        behind: String,
+    },
+    #[error("cannot write the output: {0}")]
+    Output(#[from] std::io::Error),
+    #[error("cannot encode the output: {0}")]
+    Encode(#[from] serde_json::Error),
+}
+
+impl CtlError {
+    /// Exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Settings(_) | Self::NothingToCheck | Self::NoCommand => exit::USAGE,
+            Self::Admin(error) => error.exit_code(),
+            Self::NotInForce { .. } | Self::Output(_) | Self::Encode(_) => exit::FAILURE,
+        }
+    }
+}
