Add the drain of hosts, endpoints and data centres

Work is counted for each of its subjects, so that an endpoint, its data centre and the host can be drained independently.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Inputs are typed events and the time now; outputs are typed actions. Nothing here performs
 //! I/O, reads a clock or draws random numbers other than those passed in.
 
+pub mod drain;
 pub mod group_view;
 pub mod ids;
 pub mod member_view;
--- /dev/null
+++ b/crates/core/tests/drain.rs
@@ -0,0 +1,148 @@
+//! Guards against a drain that assigns new work, ends while work remains, never ends, or reports
+//! its end more than once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use magnoliahatch_core::drain::Drain;
+use magnoliahatch_core::drain::DrainAction;
+use magnoliahatch_core::drain::DrainState;
+use magnoliahatch_core::drain::DrainSubject;
+use proptest::prelude::*;
+
+const LIMIT: Duration = Duration::from_millis(50);
+
+fn subjects() -> Vec<DrainSubject> {
+    let endpoint = |n: u8| DrainSubject::Endpoint(format!("e{n}"));
+    let data_centre = |n: u8| DrainSubject::DataCentre(format!("d{n}"));
+    vec![
+        endpoint(0),
+        endpoint(1),
+        endpoint(2),
+        data_centre(0),
+        data_centre(1),
+        DrainSubject::Host("h".to_owned()),
+    ]
+}
+
+/// Work on an endpoint: endpoints 0 and 1 are in data centre 0, endpoint 2 is in data centre 1.
+fn work(endpoint: usize) -> Vec<DrainSubject> {
+    let all = subjects();
+    let data_centre = 3 + endpoint / 2;
+    vec![
+        all[endpoint].clone(),
+        all[data_centre].clone(),
+        all[5].clone(),
+    ]
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Start(usize),
+    End(usize),
+    Out(usize),
+    In(usize),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3usize).prop_map(Step::Start),
+        3 => any::<usize>().prop_map(Step::End),
+        2 => (0..6usize).prop_map(Step::Out),
+        1 => (0..6usize).prop_map(Step::In),
+        1 => (0..60u64).prop_map(Step::Pass),
+    ]
+}
+
+/// What an observer knows: the running work, and for each leaving subject the time at which it
+/// was taken out, until its end has been reported.
+#[derive(Debug, Default)]
+struct Model {
+    running: Vec<usize>,
+    leaving: BTreeMap<DrainSubject, Option<Duration>>,
+}
+
+impl Model {
+    fn count(&self, subject: &DrainSubject) -> usize {
+        let running = self.running.iter();
+        running.filter(|e| work(**e).contains(subject)).count()
+    }
+
+    fn record(&mut self, actions: Vec<DrainAction>, now: Duration) -> Result<(), TestCaseError> {
+        for action in actions {
+            let (subject, left) = match action {
+                DrainAction::Drained { subject } => (subject, 0),
+                DrainAction::Expired { subject, remaining } => {
+                    prop_assert!(remaining > 0);
+                    (subject, remaining)
+                }
+            };
+            prop_assert_eq!(self.count(&subject), left);
+            let since = self.leaving.get_mut(&subject).and_then(Option::take);
+            prop_assert!(since.is_some(), "{subject:?} ended twice or never left");
+            prop_assert!(left == 0 || now - since.unwrap_or_default() >= LIMIT);
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    #[test]
+    fn follows_the_model(steps in prop::collection::vec(step(), 1..80)) {
+        let (mut drain, mut model) = (Drain::default(), Model::default());
+        let mut now = Duration::ZERO;
+        for step in steps {
+            match step {
+                Step::Start(endpoint) => {
+                    let subjects = work(endpoint);
+                    let free = !subjects.iter().any(|s| model.leaving.contains_key(s));
+                    prop_assert_eq!(drain.on_start(&subjects), free);
+                    if free {
+                        model.running.push(endpoint);
+                    }
+                }
+                Step::End(index) => {
+                    if !model.running.is_empty() {
+                        let endpoint = model.running.swap_remove(index % model.running.len());
+                        model.record(drain.on_end(&work(endpoint)), now)?;
+                    }
+                }
+                Step::Out(index) => {
+                    let subject = subjects()[index].clone();
+                    model.leaving.entry(subject.clone()).or_insert(Some(now));
+                    model.record(drain.on_out(subject, LIMIT, now), now)?;
+                }
+                Step::In(index) => {
+                    let subject = &subjects()[index];
+                    drain.on_in(subject);
+                    model.leaving.remove(subject);
+                }
+                Step::Pass(millis) => {
+                    now += Duration::from_millis(millis);
+                    model.record(drain.on_time(now), now)?;
+                }
+            }
+            for subject in subjects() {
+                let remaining = drain.remaining(&subject);
+                prop_assert_eq!(remaining, model.count(&subject));
+                match (drain.state(&subject), model.leaving.get(&subject)) {
+                    (DrainState::In, None) | (DrainState::Out, Some(None)) => {}
+                    (DrainState::Draining { until }, Some(Some(since))) => {
+                        prop_assert!(remaining > 0, "drained, but not reported");
+                        prop_assert_eq!(until, *since + LIMIT);
+                        prop_assert!(drain.deadline().is_some_and(|next| next <= until));
+                    }
+                    other => prop_assert!(false, "{subject:?}: {other:?}"),
+                }
+            }
+        }
+        // Whatever remains ends within the limit.
+        now += LIMIT;
+        model.record(drain.on_time(now), now)?;
+        prop_assert_eq!(drain.deadline(), None);
+        prop_assert!(model.leaving.values().all(Option::is_none));
+    }
+}
