--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod class;
 pub mod classify;
 pub mod confirm;
+pub mod drain;
 pub mod group_view;
 pub mod hold;
 pub mod ids;
--- a/crates/daemon/src/bin/magnoliahatchd.rs
+++ b/crates/daemon/src/bin/magnoliahatchd.rs
@@ -79,7 +79,7 @@
             return exit::FAILURE;
         }
     };
-    if let Err(error) = Ready::new([("sql", daemon.sql())]).print() {
+    if let Err(error) = Ready::new([("sql", daemon.sql()), ("admin", daemon.admin())]).print() {
         eprintln!("cannot print the ready line: {error}");
         return exit::FAILURE;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod config;
 pub mod confirm;
+pub mod control;
 pub mod daemon;
 pub mod databases;
 pub mod election;
