--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -26,3 +26,7 @@
 pub type LogIndex = u64;
 /// Store-wide revision; an object's version is the revision of its last change.
 pub type Revision = u64;
+/// Number of a loan request; grows within one incarnation of the borrower.
+pub type LoanId = u64;
+/// Number of a heartbeat; grows within one incarnation of the sender.
+pub type HeartbeatId = u64;
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,23 @@
+//! Messages between daemons that concern seats and loans.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::heartbeat::Heartbeat;
+use crate::limit::LimitId;
+use crate::loan::LoanGrant;
+use crate::loan::LoanRequest;
+
+/// One message; loans of several limits to the same host travel together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    Heartbeat(Heartbeat),
+    /// The sender pools these limits and asks for unused floors.
+    LoanPool(Vec<(LimitId, LoanRequest)>),
+    /// Answer to `LoanPool`: unused floors.
+    LoanOffer(Vec<(LimitId, LoanGrant)>),
+    /// The sender wants more than its floor of these limits.
+    LoanRequest(Vec<(LimitId, LoanRequest)>),
+    /// Answer to `LoanRequest`.
+    LoanGrant(Vec<(LimitId, LoanGrant)>),
+}
--- /dev/null
+++ b/crates/core/tests/limits_property.rs
@@ -0,0 +1,185 @@
+//! No fault may let the hosts together exceed a contract or a member's connections.
+
+mod support;
+
+use std::time::Duration;
+
+use magnoliahatch_core::amount::Amount;
+use magnoliahatch_core::coordinator::Division;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use support::world::World;
+
+const HOSTS: usize = 6;
+const SEED: [u8; 32] = [7; 32];
+const CASES: u32 = 96;
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// As many statements and connections as the host can get, or none.
+    Load(usize, bool, u32),
+    Pause(usize),
+    Resume(usize),
+    Crash(usize),
+    Start(usize),
+    Store(bool),
+    Cut(usize, usize),
+    Isolate(usize),
+    Heal,
+    Contract(u32, u32, u32),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let host = || 0..HOSTS;
+    prop_oneof![
+        6 => (host(), any::<bool>(), 0u32..20).prop_map(|(h, on, n)| Event::Load(h, on, n)),
+        3 => host().prop_map(Event::Pause),
+        3 => host().prop_map(Event::Resume),
+        2 => host().prop_map(Event::Crash),
+        4 => host().prop_map(Event::Start),
+        2 => prop::bool::weighted(0.7).prop_map(Event::Store),
+        2 => (host(), host()).prop_map(|(a, b)| Event::Cut(a, b)),
+        1 => host().prop_map(Event::Isolate),
+        2 => Just(Event::Heal),
+        2 => (20u32..200, 6u32..60, 2u32..24).prop_map(|(r, b, c)| Event::Contract(r, b, c)),
+    ]
+}
+
+fn apply(world: &mut World, event: &Event) {
+    match *event {
+        Event::Load(host, on, connections) => {
+            world.hosts[host].load = if on { f64::INFINITY } else { 0.0 };
+            world.hosts[host].wanted = connections;
+        }
+        Event::Pause(host) => world.hosts[host].paused = true,
+        Event::Resume(host) => world.hosts[host].paused = false,
+        Event::Crash(host) => world.crash(host),
+        Event::Start(host) => world.start(host),
+        Event::Store(up) => world.store_up = up,
+        Event::Cut(a, b) => {
+            world.net.cut.insert((a, b));
+        }
+        Event::Isolate(host) => {
+            let pairs = (0..HOSTS).flat_map(|h| [(h, host), (host, h)]);
+            world.net.cut.extend(pairs);
+        }
+        Event::Heal => world.net.cut.clear(),
+        Event::Contract(rate, burst, connections) => {
+            let amount = Amount::new(f64::from(rate), f64::from(burst));
+            world.change_contract((amount, connections));
+        }
+    }
+}
+
+fn play(seed: u64, noise: (f64, f64, f64, f64), events: &[(u64, Event)]) -> Result<World, String> {
+    let contract = (Amount::new(100.0, 30.0), 16);
+    let mut world = World::new(HOSTS, contract, Division::Loans, seed);
+    for host in 0..4 {
+        world.start(host);
+        world.hosts[host].load = f64::INFINITY;
+        world.hosts[host].wanted = 3;
+    }
+    world.run(Duration::from_secs(8))?;
+    (
+        world.net.loss,
+        world.net.repeat,
+        world.net.late,
+        world.store_loss,
+    ) = noise;
+    for (pause, event) in events {
+        apply(&mut world, event);
+        let end = world.now + Duration::from_millis(*pause);
+        world.run(end)?;
+    }
+    Ok(world)
+}
+
+/// Guards against any interleaving in which floors, loans or seats are used twice.
+#[test]
+fn admitted_statements_and_connections_stay_within_the_contract() {
+    println!("proptest seed {SEED:?}");
+    let config = ProptestConfig {
+        cases: CASES,
+        max_shrink_iters: 200,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let noise = (0.0..0.2f64, 0.0..0.2f64, 0.0..0.2f64, 0.0..0.3f64);
+    let pause = prop_oneof![3 => 20u64..1_500, 1 => 1_500u64..15_000];
+    let events = vec((pause, event()), 5..40);
+    let mut admitted = 0;
+    let mut moved = 0;
+    let result = {
+        let totals = std::cell::RefCell::new((&mut admitted, &mut moved));
+        runner.run(&(any::<u64>(), noise, events), |(seed, noise, events)| {
+            let world = play(seed, noise, &events).map_err(TestCaseError::fail)?;
+            let mut totals = totals.borrow_mut();
+            *totals.0 += world.admitted();
+            *totals.1 += world.store.as_ref().map_or(0, |t| t.version);
+            Ok(())
+        })
+    };
+    println!("{admitted} statements admitted, {moved} changes of the seat table");
+    if let Err(failure) = result {
+        panic!("{failure}");
+    }
+    // A fleet that admits nothing keeps every limit.
+    assert!(admitted > 100_000 && moved > u64::from(CASES) * 5);
+}
+
+/// Guards against a fleet that does not come back: after all faults end, the contract is usable
+/// again without an operator.
+#[test]
+fn the_contract_is_usable_again_after_the_faults_end() {
+    println!("proptest seed {SEED:?}");
+    let config = ProptestConfig {
+        cases: 24,
+        max_shrink_iters: 100,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let noise = (0.0..0.2f64, 0.0..0.2f64, 0.0..0.2f64, 0.0..0.3f64);
+    let events = vec((20u64..6_000, event()), 5..25);
+    let result = runner.run(&(any::<u64>(), noise, events), |(seed, noise, events)| {
+        let mut world = play(seed, noise, &events).map_err(TestCaseError::fail)?;
+        (
+            world.net.loss,
+            world.net.repeat,
+            world.net.late,
+            world.store_loss,
+        ) = (0.0, 0.0, 0.0, 0.0);
+        world.net.cut.clear();
+        world.store_up = true;
+        // With a burst of hardly one statement per host, the simulation's step of 20 ms would
+        // lose what arrives in between.
+        world.change_contract((Amount::new(100.0, 60.0), 16));
+        for host in 0..HOSTS {
+            world.hosts[host].paused = false;
+            world.start(host);
+            world.hosts[host].load = f64::INFINITY;
+        }
+        let end = world.now + Duration::from_secs(45);
+        world.run(end).map_err(TestCaseError::fail)?;
+        let before = world.admitted();
+        let end = world.now + Duration::from_secs(5);
+        world.run(end).map_err(TestCaseError::fail)?;
+        let rate = world.contracts.last().map_or(0.0, |c| c.0.rate);
+        let used = (world.admitted() - before) as f64 / 5.0 / rate;
+        prop_assert!(
+            used > 0.9,
+            "{used} of the rate is used, seats {:?}",
+            world.store
+        );
+        Ok(())
+    });
+    if let Err(failure) = result {
+        panic!("{failure}");
+    }
+}
