Add the fault proxy

Tests of partitions, late answers and silent connections need faults on single links while the processes run. fault-proxy forwards any number of TCP and UDP links, adds delays, cuts one or both directions, freezes, silences open connections only and resets; an API changes this at run time. A connection that lost bytes to a cut is reset when the cut ends, since its stream has a gap.

--- /dev/null
+++ b/crates/bench/src/fault/api.rs
@@ -0,0 +1,132 @@
+//! API of the fault proxy.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dropshot::ApiDescription;
+use dropshot::ConfigDropshot;
+use dropshot::HttpError;
+use dropshot::HttpResponseCreated;
+use dropshot::HttpResponseOk;
+use dropshot::HttpServer;
+use dropshot::Path;
+use dropshot::RequestContext;
+use dropshot::ServerBuilder;
+use dropshot::TypedBody;
+use dropshot::endpoint;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fault::error::FaultError;
+use crate::fault::link::Link;
+use crate::fault::link_report::LinkReport;
+use crate::fault::link_settings::LinkSettings;
+use crate::fault::mode::LinkMode;
+use crate::fault::proxy::FaultProxy;
+
+/// Change of one link; absent fields stay as they are.
+#[derive(Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LinkChange {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mode: Option<LinkMode>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delay_us: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>")]
+    pub target: Option<SocketAddr>,
+    /// Silences the connections open now; new ones work.
+    #[serde(default)]
+    pub freeze_open: bool,
+    /// Resets the connections open now.
+    #[serde(default)]
+    pub reset: bool,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct LinkPath {
+    name: String,
+}
+
+/// Starts the API.
+pub fn serve(listen: SocketAddr, proxy: FaultProxy) -> Result<HttpServer<FaultProxy>, FaultError> {
+    let failed = |error: &dyn std::fmt::Display| FaultError::Api(error.to_string());
+    let mut api = ApiDescription::new();
+    api.register(list_links).map_err(|e| failed(&e))?;
+    api.register(add_link).map_err(|e| failed(&e))?;
+    api.register(change_link).map_err(|e| failed(&e))?;
+    let config = ConfigDropshot {
+        bind_address: listen,
+        ..Default::default()
+    };
+    ServerBuilder::new(api, proxy, slog::Logger::root(slog::Discard, slog::o!()))
+        .config(config)
+        .start()
+        .map_err(|e| failed(&e))
+}
+
+/// Lists all links.
+#[endpoint { method = GET, path = "/links" }]
+async fn list_links(
+    context: RequestContext<FaultProxy>,
+) -> Result<HttpResponseOk<Vec<LinkReport>>, HttpError> {
+    Ok(HttpResponseOk(context.context().map(Link::report).await))
+}
+
+/// Adds a link.
+#[endpoint { method = POST, path = "/links" }]
+async fn add_link(
+    context: RequestContext<FaultProxy>,
+    body: TypedBody<LinkSettings>,
+) -> Result<HttpResponseCreated<LinkReport>, HttpError> {
+    let settings = body.into_inner();
+    let proxy = context.context();
+    proxy.add(&settings).await.map_err(refused)?;
+    let report = proxy.with(&settings.name, Link::report).await;
+    Ok(HttpResponseCreated(report.map_err(refused)?))
+}
+
+/// Changes one link.
+#[endpoint { method = PUT, path = "/links/{name}" }]
+async fn change_link(
+    context: RequestContext<FaultProxy>,
+    path: Path<LinkPath>,
+    body: TypedBody<LinkChange>,
+) -> Result<HttpResponseOk<LinkReport>, HttpError> {
+    let change = body.into_inner();
+    let report = context
+        .context()
+        .with(&path.into_inner().name, |link| apply(link, &change))
+        .await
+        .map_err(refused)?;
+    tracing::info!(event = 500, link = report.name, mode = ?report.mode, "link changed");
+    Ok(HttpResponseOk(report))
+}
+
+fn apply(link: &Link, change: &LinkChange) -> LinkReport {
+    if let Some(mode) = change.mode {
+        link.set_mode(mode);
+    }
+    if let Some(delay) = change.delay_us {
+        link.set_delay(Duration::from_micros(delay));
+    }
+    if let Some(target) = change.target {
+        link.set_target(target);
+    }
+    if change.freeze_open {
+        link.freeze_open();
+    }
+    if change.reset {
+        link.reset();
+    }
+    link.report()
+}
+
+fn refused(error: FaultError) -> HttpError {
+    let code = Some("refused".to_owned());
+    match error {
+        FaultError::Unknown(_) => HttpError::for_not_found(code, error.to_string()),
+        _ => HttpError::for_bad_request(code, error.to_string()),
+    }
+}
--- a/crates/bench/src/fault/mod.rs
+++ b/crates/bench/src/fault/mod.rs
@@ -1,1 +1,21 @@
 //! Fault-injecting proxy for TCP and UDP links.
+//!
+//! Each link forwards from its own listen address to a target. Faults are changed while the
+//! proxy runs, through its API.
+
+pub mod api;
+pub mod client;
+pub mod client_error;
+pub mod counts;
+pub mod error;
+pub mod gate;
+pub mod link;
+pub mod link_report;
+pub mod link_settings;
+pub mod mode;
+pub mod protocol;
+pub mod proxy;
+pub mod settings;
+pub mod state;
+mod tcp;
+mod udp;
--- /dev/null
+++ b/crates/bench/src/fault/settings.rs
@@ -0,0 +1,22 @@
+//! Settings file of the fault proxy.
+
+use std::net::SocketAddr;
+
+use magnoliahatch_client::logs::LogFormat;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::fault::link_settings::LinkSettings;
+
+/// Settings file of the fault proxy.
+#[derive(Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FaultSettings {
+    /// Address of the API.
+    #[schemars(with = "String")]
+    pub admin: SocketAddr,
+    #[serde(default)]
+    pub links: Vec<LinkSettings>,
+    #[serde(default)]
+    pub log_format: LogFormat,
+}
--- /dev/null
+++ b/crates/bench/src/fault/state.rs
@@ -0,0 +1,33 @@
+//! Current faults of a link.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::fault::gate::Gate;
+use crate::fault::mode::LinkMode;
+
+/// Number of a connection (TCP) or flow (UDP) of a link, in order of arrival.
+pub type ConnectionNumber = u64;
+
+/// Current faults of a link; connections watch it.
+#[derive(Debug, Clone)]
+pub struct LinkState {
+    pub mode: LinkMode,
+    pub delay: Duration,
+    pub target: Option<SocketAddr>,
+    /// Connections below this number stay silent for good.
+    pub frozen_below: ConnectionNumber,
+    /// Connections below this number are reset.
+    pub reset_below: ConnectionNumber,
+}
+
+impl LinkState {
+    /// Treatment of one direction of a connection.
+    pub fn gate(&self, number: ConnectionNumber, forward: bool) -> Gate {
+        if number < self.frozen_below {
+            Gate::Hold
+        } else {
+            self.mode.gate(forward)
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod history;
 pub mod load;
 pub mod member;
+pub mod options;
 pub mod store;
--- /dev/null
+++ b/crates/bench/tests/fault.rs
@@ -0,0 +1,235 @@
+//! Guards against a fault proxy that injects other faults than those asked for.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_bench::fault::link::Link;
+use magnoliahatch_bench::fault::link_settings::LinkSettings;
+use magnoliahatch_bench::fault::mode::LinkMode;
+use magnoliahatch_bench::fault::protocol::Protocol;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
+
+/// Upper limit of each wait on a condition.
+const LIMIT: Duration = Duration::from_secs(10);
+/// How long silence must last to count; only its absence fails a test.
+const SILENCE: Duration = Duration::from_millis(60);
+
+async fn tcp_echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut read, mut write) = stream.split();
+                let _ = tokio::io::copy(&mut read, &mut write).await;
+            });
+        }
+    });
+    addr
+}
+
+async fn link(protocol: Protocol, target: SocketAddr, delay_us: u64) -> Link {
+    Link::bind(&LinkSettings {
+        name: "a".to_owned(),
+        protocol,
+        listen: "127.0.0.1:0".parse().unwrap(),
+        target: Some(target),
+        delay_us,
+    })
+    .await
+    .unwrap()
+}
+
+async fn tcp_link() -> Link {
+    link(Protocol::Tcp, tcp_echo().await, 0).await
+}
+
+async fn connect(link: &Link) -> TcpStream {
+    TcpStream::connect(link.listen()).await.unwrap()
+}
+
+async fn read(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let mut buffer = [0; 64];
+    let count = timeout(LIMIT, stream.read(&mut buffer))
+        .await
+        .expect("answer in time")?;
+    Ok(buffer[..count].to_vec())
+}
+
+async fn echo(stream: &mut TcpStream, text: &[u8]) -> io::Result<Vec<u8>> {
+    stream.write_all(text).await?;
+    read(stream).await
+}
+
+async fn assert_silent(stream: &mut TcpStream) {
+    let mut buffer = [0; 64];
+    let answer = timeout(SILENCE, stream.read(&mut buffer)).await;
+    assert!(answer.is_err(), "expected silence, found {answer:?}");
+}
+
+#[tokio::test]
+async fn passes_bytes_and_the_end_of_the_stream() {
+    let link = tcp_link().await;
+    let mut stream = connect(&link).await;
+    assert_eq!(echo(&mut stream, b"abc").await.unwrap(), b"abc");
+    stream.shutdown().await.unwrap();
+    assert_eq!(read(&mut stream).await.unwrap(), b"");
+}
+
+#[tokio::test]
+async fn cut_discards_and_resets_when_it_ends() {
+    let link = tcp_link().await;
+    let mut open = connect(&link).await;
+    echo(&mut open, b"abc").await.unwrap();
+    link.set_mode(LinkMode::Cut);
+    open.write_all(b"lost").await.unwrap();
+    let mut new = connect(&link).await;
+    new.write_all(b"held").await.unwrap();
+    assert_silent(&mut open).await;
+    assert_silent(&mut new).await;
+    link.set_mode(LinkMode::Pass);
+    assert_eq!(
+        read(&mut open).await.unwrap_err().kind(),
+        io::ErrorKind::ConnectionReset
+    );
+    assert_eq!(
+        read(&mut new).await.unwrap_err().kind(),
+        io::ErrorKind::ConnectionReset
+    );
+    let mut later = connect(&link).await;
+    assert_eq!(echo(&mut later, b"abc").await.unwrap(), b"abc");
+    assert_eq!(link.report().discarded, 4);
+}
+
+#[tokio::test]
+async fn cut_back_lets_requests_reach_the_target() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = link(Protocol::Tcp, listener.local_addr().unwrap(), 0).await;
+    let mut client = connect(&link).await;
+    let (mut server, _) = listener.accept().await.unwrap();
+    client.write_all(b"first").await.unwrap();
+    assert_eq!(read(&mut server).await.unwrap(), b"first");
+    link.set_mode(LinkMode::CutBack);
+    client.write_all(b"second").await.unwrap();
+    assert_eq!(read(&mut server).await.unwrap(), b"second");
+    server.write_all(b"answer").await.unwrap();
+    assert_silent(&mut client).await;
+}
+
+#[tokio::test]
+async fn cut_forward_lets_answers_reach_the_client() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = link(Protocol::Tcp, listener.local_addr().unwrap(), 0).await;
+    let mut client = connect(&link).await;
+    let (mut server, _) = listener.accept().await.unwrap();
+    link.set_mode(LinkMode::CutForward);
+    server.write_all(b"answer").await.unwrap();
+    assert_eq!(read(&mut client).await.unwrap(), b"answer");
+    client.write_all(b"lost").await.unwrap();
+    assert_silent(&mut server).await;
+}
+
+#[tokio::test]
+async fn freeze_delivers_everything_when_it_ends() {
+    let link = tcp_link().await;
+    let mut open = connect(&link).await;
+    echo(&mut open, b"abc").await.unwrap();
+    link.set_mode(LinkMode::Freeze);
+    open.write_all(b"late").await.unwrap();
+    let mut new = connect(&link).await;
+    new.write_all(b"later").await.unwrap();
+    assert_silent(&mut open).await;
+    assert_silent(&mut new).await;
+    link.set_mode(LinkMode::Pass);
+    assert_eq!(read(&mut open).await.unwrap(), b"late");
+    assert_eq!(read(&mut new).await.unwrap(), b"later");
+}
+
+#[tokio::test]
+async fn freeze_open_silences_open_connections_only() {
+    let link = tcp_link().await;
+    let mut open = connect(&link).await;
+    echo(&mut open, b"abc").await.unwrap();
+    link.freeze_open();
+    open.write_all(b"held").await.unwrap();
+    let mut new = connect(&link).await;
+    assert_eq!(echo(&mut new, b"abc").await.unwrap(), b"abc");
+    link.set_mode(LinkMode::Pass);
+    assert_silent(&mut open).await;
+}
+
+#[tokio::test]
+async fn reset_ends_open_connections_with_an_error() {
+    let link = tcp_link().await;
+    let mut open = connect(&link).await;
+    echo(&mut open, b"abc").await.unwrap();
+    link.reset();
+    assert_eq!(
+        read(&mut open).await.unwrap_err().kind(),
+        io::ErrorKind::ConnectionReset
+    );
+    let mut new = connect(&link).await;
+    assert_eq!(echo(&mut new, b"abc").await.unwrap(), b"abc");
+}
+
+#[tokio::test]
+async fn delay_applies_in_each_direction_without_limiting_throughput() {
+    let link = link(Protocol::Tcp, tcp_echo().await, 20_000).await;
+    let mut stream = connect(&link).await;
+    echo(&mut stream, b"warm").await.unwrap();
+    let start = Instant::now();
+    assert_eq!(echo(&mut stream, b"abc").await.unwrap(), b"abc");
+    assert!(
+        start.elapsed() >= Duration::from_millis(40),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+#[tokio::test]
+async fn udp_flows_pass_cut_and_freeze() {
+    let server = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let link = link(Protocol::Udp, server.local_addr().unwrap(), 0).await;
+    tokio::spawn(async move {
+        let mut buffer = [0; 64];
+        while let Ok((count, from)) = server.recv_from(&mut buffer).await {
+            let _ = server.send_to(&buffer[..count], from).await;
+        }
+    });
+    let open = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    open.connect(link.listen()).await.unwrap();
+    let new = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    new.connect(link.listen()).await.unwrap();
+    let mut buffer = [0; 64];
+
+    open.send(b"abc").await.unwrap();
+    assert_eq!(
+        timeout(LIMIT, open.recv(&mut buffer))
+            .await
+            .unwrap()
+            .unwrap(),
+        3
+    );
+    link.set_mode(LinkMode::Cut);
+    open.send(b"lost").await.unwrap();
+    assert!(timeout(SILENCE, open.recv(&mut buffer)).await.is_err());
+    link.set_mode(LinkMode::Pass);
+    link.freeze_open();
+    open.send(b"frozen").await.unwrap();
+    new.send(b"ab").await.unwrap();
+    assert_eq!(
+        timeout(LIMIT, new.recv(&mut buffer))
+            .await
+            .unwrap()
+            .unwrap(),
+        2
+    );
+    assert!(timeout(SILENCE, open.recv(&mut buffer)).await.is_err());
+}
