--- a/crates/bench/src/bin/fault-proxy.rs
+++ b/crates/bench/src/bin/fault-proxy.rs
@@ -15,14 +15,15 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let command = clap::command!()
-        .name("fault-proxy")
-        .about("Forwards TCP and UDP links and injects faults into them");
-    let settings: FaultSettings = match Options::parse(command).load() {
+    let options = Options::parse(
+        "fault-proxy",
+        "Forwards TCP and UDP links and injects faults into them",
+    );
+    let settings: FaultSettings = match options.load() {
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    logs::init(settings.log_format, "warn");
+    logs::init(settings.log_format, &settings.log_filter);
     match run(&settings).await {
         Ok(()) => ExitCode::from(exit::OK),
         Err(error) => {
--- a/crates/bench/src/fault/settings.rs
+++ b/crates/bench/src/fault/settings.rs
@@ -19,4 +19,11 @@
     pub links: Vec<LinkSettings>,
     #[serde(default)]
     pub log_format: LogFormat,
+    /// Filter in the syntax of `RUST_LOG`.
+    #[serde(default = "default_filter")]
+    pub log_filter: String,
+}
+
+fn default_filter() -> String {
+    "warn".to_owned()
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -5,6 +5,7 @@
 
 use clap::Arg;
 use clap::ArgAction;
+use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
 use magnoliahatch_client::exit;
@@ -12,47 +13,44 @@
 use magnoliahatch_client::settings_error::SettingsError;
 use serde::de::DeserializeOwned;
 
-/// Options of a binary that takes a settings file.
+/// Parsed command line of a binary that takes a settings file.
 #[derive(Debug)]
 pub struct Options {
     pub settings: PathBuf,
-    /// Only validate the settings file.
+    /// Only validates the settings file.
     pub check: bool,
 }
 
 impl Options {
-    /// Reads the process's command line; exits with code 2 when it is not valid.
-    pub fn parse(command: Command) -> Self {
-        Self::from_matches(&Self::command(command).get_matches())
+    /// Parses the process's command line; ends the process on `--help` and on bad usage.
+    pub fn parse(name: &'static str, about: &'static str) -> Self {
+        Self::take(&mut Self::command(name, about).get_matches())
     }
 
-    /// Adds the shared arguments to a command.
-    pub fn command(command: Command) -> Command {
-        command
+    /// The shared command line, to which a binary may add its own arguments.
+    pub fn command(name: &'static str, about: &'static str) -> Command {
+        Command::new(name)
+            .about(about)
+            .version(clap::crate_version!())
+            .after_help("Exit codes: 0 ok, 1 failure at run time, 2 bad usage or settings.")
             .arg(
                 Arg::new("settings")
-                    .long("settings")
-                    .value_name("FILE")
+                    .help("Settings file: JSON with comments")
                     .required(true)
-                    .value_parser(value_parser!(PathBuf))
-                    .help("Settings file, JSON with comments"),
+                    .value_parser(value_parser!(PathBuf)),
             )
             .arg(
                 Arg::new("check")
                     .long("check")
-                    .action(ArgAction::SetTrue)
-                    .help("Validate the settings file and exit"),
+                    .help("Validate the settings file and exit")
+                    .action(ArgAction::SetTrue),
             )
-            .after_help("Exit codes: 0 ok, 1 failure at run time, 2 bad usage or settings")
     }
 
-    /// Reads the shared arguments.
-    pub fn from_matches(matches: &clap::ArgMatches) -> Self {
+    /// Takes the shared arguments out of the matches.
+    pub fn take(matches: &mut ArgMatches) -> Self {
         Self {
-            settings: matches
-                .get_one::<PathBuf>("settings")
-                .cloned()
-                .unwrap_or_default(),
+            settings: matches.remove_one("settings").unwrap_or_default(),
             check: matches.get_flag("check"),
         }
     }
@@ -62,10 +60,7 @@
     pub fn load<T: DeserializeOwned>(&self) -> Result<T, ExitCode> {
         let loaded: Result<T, SettingsError> = settings::load(&self.settings);
         match loaded {
-            Ok(_) if self.check => {
-                println!("{}: ok", self.settings.display());
-                Err(ExitCode::from(exit::OK))
-            }
+            Ok(_) if self.check => Err(ExitCode::from(exit::OK)),
             Ok(value) => Ok(value),
             Err(error) => {
                 eprintln!("{error}");
