Add history files and their checker

The checker finds missing own writes, lost, vanished and doubled writes, wrong "not run" outcomes, mixed organisations, answers and transactions, and the worst window over an organisation's limit, in O(n log n). It reports only what the records prove: unknown outcomes may have run or not.

--- a/crates/bench/src/history/mod.rs
+++ b/crates/bench/src/history/mod.rs
@@ -1,1 +1,18 @@
 //! History of concurrent operations and its checker.
+//!
+//! A history holds one record per operation. The checker reports only what the records prove:
+//! an operation of unknown outcome may have run or not, and its effect may appear at any time
+//! after its invocation.
+
+mod audits;
+pub mod checker;
+pub mod error;
+pub mod file;
+pub mod limit;
+pub mod operation;
+pub mod outcome;
+pub mod record;
+mod rows;
+pub mod verdict;
+pub mod violation;
+mod window;
