Add sessions and open-loop arrivals of the load tool

Closed loops hide waiting times, so operations arrive by a Poisson process that does not depend on the answers. A session keeps its token while it moves between hosts, repeats only what certainly did not run, or what a request id makes idempotent, and writes one history record per operation.

--- a/crates/bench/src/harness/objects.rs
+++ b/crates/bench/src/harness/objects.rs
@@ -1,5 +1,6 @@
 //! Writes objects to the store.
 
+use magnoliahatch_client::change_id;
 use magnoliahatch_client::objects::draft::Draft;
 use magnoliahatch_client::objects::stored_object::StoredObject;
 use magnoliahatch_client::store::StoreClient;
@@ -17,7 +18,7 @@
     value: &impl Serialize,
 ) -> Result<StoredObject, HarnessError> {
     let draft = Draft {
-        change_id: format!("{:032x}", rand::random::<u128>()),
+        change_id: change_id::draw(),
         value: serde_json::to_value(value)?,
     };
     let mut version: Revision = match store.get(kind, name).await {
--- /dev/null
+++ b/crates/bench/src/load/attempt.rs
@@ -0,0 +1,139 @@
+//! One attempt at an operation.
+
+use std::time::Duration;
+
+use crate::history::operation::RowId;
+use crate::history::operation::RowKey;
+use crate::history::outcome::Outcome;
+use crate::load::connection::Connection;
+use crate::load::failure::Failure;
+use crate::load::statement;
+
+/// What an operation reads or writes.
+pub(super) struct Content {
+    pub(super) organisation: String,
+    pub(super) key: RowKey,
+    pub(super) rows: Vec<RowId>,
+    /// The caller ends the transaction with ROLLBACK.
+    pub(super) rollback: bool,
+    pub(super) request_id: Option<String>,
+}
+
+/// Result of one attempt: the rows read, or the failure.
+pub(super) struct Attempt {
+    pub(super) result: Result<Vec<RowId>, Failure>,
+    pub(super) outcome: Outcome,
+    /// When COMMIT was sent.
+    pub(super) commit: Option<Duration>,
+}
+
+impl Attempt {
+    fn of(result: Result<Vec<RowId>, Failure>) -> Self {
+        let outcome = match &result {
+            Ok(_) => Outcome::Ran,
+            Err(failure) => failure.outcome(),
+        };
+        Self {
+            result,
+            outcome,
+            commit: None,
+        }
+    }
+
+    /// The statement that changes data was not sent.
+    pub(super) fn not_sent(failure: Failure) -> Self {
+        Self {
+            result: Err(failure),
+            outcome: Outcome::NotRun,
+            commit: None,
+        }
+    }
+}
+
+/// Selects the rows of the key.
+pub(super) async fn read(
+    connection: &mut Connection,
+    content: &Content,
+    limit: Duration,
+) -> Attempt {
+    let sql = statement::select(content.key);
+    let result = connection.query(&sql, limit).await;
+    let result = result.and_then(|answer| {
+        // The tag counts the rows that the endpoint sent.
+        let expected = format!("SELECT {}", answer.rows.len());
+        if answer.tag == expected {
+            Ok(answer.numbers())
+        } else {
+            Err(Failure::Lost(format!(
+                "{} rows for {}",
+                answer.rows.len(),
+                answer.tag
+            )))
+        }
+    });
+    let mut attempt = Attempt::of(result);
+    if attempt.result.is_err() && attempt.outcome == Outcome::Ran {
+        // Without its rows, an answer shows nothing.
+        attempt.outcome = Outcome::Unknown;
+    }
+    attempt
+}
+
+/// Inserts one row.
+pub(super) async fn write(
+    connection: &mut Connection,
+    content: &Content,
+    limit: Duration,
+) -> Attempt {
+    if let Some(id) = &content.request_id {
+        let set = connection
+            .query(&statement::set_request_id(id), limit)
+            .await;
+        if let Err(failure) = set {
+            return Attempt::not_sent(failure);
+        }
+    }
+    let sql = statement::insert(&content.organisation, content.key, content.rows[0]);
+    let result = connection.query(&sql, limit).await;
+    Attempt::of(result.map(|_| Vec::new()))
+}
+
+/// Inserts the rows in a transaction. Until COMMIT is sent, nothing of it can stay.
+pub(super) async fn transaction(
+    connection: &mut Connection,
+    content: &Content,
+    limit: Duration,
+    now: impl Fn() -> Duration,
+) -> Attempt {
+    let organisation = &content.organisation;
+    let inserts = content
+        .rows
+        .iter()
+        .map(|row| statement::insert(organisation, content.key, *row));
+    let first = std::iter::once("BEGIN".to_owned());
+    for sql in first.chain(inserts) {
+        if let Err(failure) = connection.query(&sql, limit).await {
+            if failure.keeps_connection() && !connection.idle() {
+                let _ = connection.query("ROLLBACK", limit).await;
+            }
+            return Attempt::not_sent(failure);
+        }
+    }
+    if content.rollback {
+        let result = connection.query("ROLLBACK", limit).await;
+        return Attempt {
+            result: result.map(|_| Vec::new()),
+            outcome: Outcome::NotRun,
+            commit: None,
+        };
+    }
+    let commit = Some(now());
+    let result = connection.query("COMMIT", limit).await;
+    let rolled_back = result.as_ref().is_ok_and(|answer| answer.tag == "ROLLBACK");
+    let mut attempt = Attempt::of(result.map(|_| Vec::new()));
+    attempt.commit = commit;
+    if rolled_back {
+        attempt.outcome = Outcome::NotRun;
+    }
+    attempt
+}
--- /dev/null
+++ b/crates/bench/src/load/sample.rs
@@ -0,0 +1,41 @@
+//! Result of one operation, for the report.
+
+use std::time::Duration;
+
+use crate::history::outcome::Outcome;
+
+/// Kind of an operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Read,
+    Write,
+    Transaction,
+}
+
+/// An attempt that was refused.
+#[derive(Debug, Clone)]
+pub struct Refusal {
+    /// SQLSTATE, or a name for failures without one.
+    pub code: String,
+    pub outcome: Outcome,
+    /// Whether all that the organisation had sent was inside its contract.
+    pub inside: bool,
+}
+
+/// Result of one operation. Times are since the start of the load.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    pub organisation: usize,
+    pub database: usize,
+    pub kind: Kind,
+    /// When the operation was due; waiting for a free session counts.
+    pub intended: Duration,
+    pub answered: Duration,
+    pub outcome: Outcome,
+    /// Whether the caller got what it asked for.
+    pub served: bool,
+    /// Whether the organisation's arrivals were inside its contract.
+    pub inside: bool,
+    pub statements: u32,
+    pub refusals: Vec<Refusal>,
+}
