Delay links by the process that uses them

A database object holds one address per member for all daemons, so the delay between two data centres depends on who connects. Links may have delays by process; TCP connections are recognised by the process id, datagrams by their source address. Member stand-ins count reads by table, from which the share of reads on replicas follows.

--- a/crates/bench/src/fault/api.rs
+++ b/crates/bench/src/fault/api.rs
@@ -8,6 +8,7 @@
 use dropshot::HttpError;
 use dropshot::HttpResponseCreated;
 use dropshot::HttpResponseOk;
+use dropshot::HttpResponseUpdatedNoContent;
 use dropshot::HttpServer;
 use dropshot::Path;
 use dropshot::RequestContext;
@@ -24,6 +25,7 @@
 use crate::fault::link_settings::LinkSettings;
 use crate::fault::mode::LinkMode;
 use crate::fault::proxy::FaultProxy;
+use crate::fault::source::Source;
 
 /// Change of one link; absent fields stay as they are.
 #[derive(Debug, Default, Serialize, Deserialize, JsonSchema)]
@@ -45,7 +47,7 @@
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
-struct LinkPath {
+struct NamePath {
     name: String,
 }
 
@@ -56,6 +58,7 @@
     api.register(list_links).map_err(|e| failed(&e))?;
     api.register(add_link).map_err(|e| failed(&e))?;
     api.register(change_link).map_err(|e| failed(&e))?;
+    api.register(set_source).map_err(|e| failed(&e))?;
     let config = ConfigDropshot {
         bind_address: listen,
         ..Default::default()
@@ -91,7 +94,7 @@
 #[endpoint { method = PUT, path = "/links/{name}" }]
 async fn change_link(
     context: RequestContext<FaultProxy>,
-    path: Path<LinkPath>,
+    path: Path<NamePath>,
     body: TypedBody<LinkChange>,
 ) -> Result<HttpResponseOk<LinkReport>, HttpError> {
     let change = body.into_inner();
@@ -104,6 +107,18 @@
     Ok(HttpResponseOk(report))
 }
 
+/// Makes a process known, or replaces the one of this name.
+#[endpoint { method = PUT, path = "/sources/{name}" }]
+async fn set_source(
+    context: RequestContext<FaultProxy>,
+    path: Path<NamePath>,
+    body: TypedBody<Source>,
+) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    let name = path.into_inner().name;
+    context.context().set_source(name, body.into_inner());
+    Ok(HttpResponseUpdatedNoContent())
+}
+
 fn apply(link: &Link, change: &LinkChange) -> LinkReport {
     if let Some(mode) = change.mode {
         link.set_mode(mode);
--- a/crates/bench/src/fault/client.rs
+++ b/crates/bench/src/fault/client.rs
@@ -9,6 +9,7 @@
 use crate::fault::client_error::FaultClientError;
 use crate::fault::link_report::LinkReport;
 use crate::fault::link_settings::LinkSettings;
+use crate::fault::source::Source;
 
 /// Limit of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -28,19 +29,31 @@
             .timeout(CALL_TIMEOUT)
             .build()?;
         Ok(Self {
-            base: format!("http://{admin}/links"),
+            base: format!("http://{admin}"),
             http,
         })
     }
 
     /// Lists all links.
     pub async fn list(&self) -> Result<Vec<LinkReport>, FaultClientError> {
-        decode(self.http.get(&self.base)).await
+        decode(self.http.get(format!("{}/links", self.base))).await
     }
 
     /// Adds a link; the report contains its address.
     pub async fn add(&self, settings: &LinkSettings) -> Result<LinkReport, FaultClientError> {
-        decode(self.http.post(&self.base).json(settings)).await
+        decode(
+            self.http
+                .post(format!("{}/links", self.base))
+                .json(settings),
+        )
+        .await
+    }
+
+    /// Makes a process known, or replaces the one of this name.
+    pub async fn set_source(&self, name: &str, source: &Source) -> Result<(), FaultClientError> {
+        let url = format!("{}/sources/{name}", self.base);
+        accepted(self.http.put(url).json(source)).await?;
+        Ok(())
     }
 
     /// Changes one link.
@@ -49,16 +62,25 @@
         name: &str,
         change: &LinkChange,
     ) -> Result<LinkReport, FaultClientError> {
-        decode(self.http.put(format!("{}/{name}", self.base)).json(change)).await
+        decode(
+            self.http
+                .put(format!("{}/links/{name}", self.base))
+                .json(change),
+        )
+        .await
     }
 }
 
 async fn decode<T: DeserializeOwned>(
     request: reqwest::RequestBuilder,
 ) -> Result<T, FaultClientError> {
+    Ok(accepted(request).await?.json().await?)
+}
+
+async fn accepted(request: reqwest::RequestBuilder) -> Result<reqwest::Response, FaultClientError> {
     let answer = request.send().await?;
     if !answer.status().is_success() {
         return Err(FaultClientError::Refused(answer.text().await?));
     }
-    Ok(answer.json().await?)
+    Ok(answer)
 }
--- a/crates/bench/src/fault/link.rs
+++ b/crates/bench/src/fault/link.rs
@@ -15,6 +15,7 @@
 use crate::fault::link_settings::LinkSettings;
 use crate::fault::mode::LinkMode;
 use crate::fault::protocol::Protocol;
+use crate::fault::sources::Sources;
 use crate::fault::state::LinkState;
 use crate::fault::tcp;
 use crate::fault::udp;
@@ -31,10 +32,15 @@
 
 impl Link {
     /// Binds the listen address and starts to forward.
-    pub async fn bind(settings: &LinkSettings) -> Result<Self, FaultError> {
+    pub async fn bind(settings: &LinkSettings, sources: Sources) -> Result<Self, FaultError> {
         let (state, watcher) = watch::channel(LinkState {
             mode: LinkMode::Pass,
             delay: Duration::from_micros(settings.delay_us),
+            delays: settings
+                .delays_us
+                .iter()
+                .map(|(name, delay)| (name.clone(), Duration::from_micros(*delay)))
+                .collect(),
             target: settings.target,
             frozen_below: 0,
             reset_below: 0,
@@ -49,13 +55,13 @@
             Protocol::Tcp => {
                 let socket = TcpListener::bind(settings.listen).await.map_err(failed)?;
                 let listen = socket.local_addr().map_err(failed)?;
-                tokio::spawn(tcp::serve(socket, watcher, counts.clone()));
+                tokio::spawn(tcp::serve(socket, watcher, counts.clone(), sources));
                 listen
             }
             Protocol::Udp => {
                 let socket = UdpSocket::bind(settings.listen).await.map_err(failed)?;
                 let listen = socket.local_addr().map_err(failed)?;
-                tokio::spawn(udp::serve(socket, watcher, counts.clone()));
+                tokio::spawn(udp::serve(socket, watcher, counts.clone(), sources));
                 listen
             }
         };
--- a/crates/bench/src/fault/link_settings.rs
+++ b/crates/bench/src/fault/link_settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one link.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
@@ -27,6 +28,9 @@
     /// Added in each direction.
     #[serde(default)]
     pub delay_us: u64,
+    /// Delays of the connections of known processes, by the process's name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub delays_us: BTreeMap<String, u64>,
 }
 
 fn any_port() -> SocketAddr {
--- a/crates/bench/src/fault/mod.rs
+++ b/crates/bench/src/fault/mod.rs
@@ -16,6 +16,8 @@
 pub mod protocol;
 pub mod proxy;
 pub mod settings;
+pub mod source;
+pub mod sources;
 pub mod state;
 mod tcp;
 mod udp;
--- a/crates/bench/src/fault/proxy.rs
+++ b/crates/bench/src/fault/proxy.rs
@@ -10,11 +10,14 @@
 use crate::fault::error::FaultError;
 use crate::fault::link::Link;
 use crate::fault::link_settings::LinkSettings;
+use crate::fault::source::Source;
+use crate::fault::sources::Sources;
 
 /// The links of a fault proxy by name; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct FaultProxy {
     links: Arc<Mutex<BTreeMap<String, Link>>>,
+    sources: Sources,
 }
 
 impl FaultProxy {
@@ -31,10 +34,18 @@
     pub async fn add(&self, settings: &LinkSettings) -> Result<SocketAddr, FaultError> {
         match self.links.lock().await.entry(settings.name.clone()) {
             Entry::Occupied(_) => Err(FaultError::Duplicate(settings.name.clone())),
-            Entry::Vacant(vacant) => Ok(vacant.insert(Link::bind(settings).await?).listen()),
+            Entry::Vacant(vacant) => {
+                let link = Link::bind(settings, self.sources.clone()).await?;
+                Ok(vacant.insert(link).listen())
+            }
         }
     }
 
+    /// Makes a process known, or replaces the one of this name.
+    pub fn set_source(&self, name: String, source: Source) {
+        self.sources.set(name, source);
+    }
+
     /// Calls `act` with one link.
     pub async fn with<T>(&self, name: &str, act: impl FnOnce(&Link) -> T) -> Result<T, FaultError> {
         let links = self.links.lock().await;
--- a/crates/bench/src/fault/tcp.rs
+++ b/crates/bench/src/fault/tcp.rs
@@ -20,6 +20,7 @@
 use crate::fault::counts::Counts;
 use crate::fault::gate::Gate;
 use crate::fault::mode::LinkMode;
+use crate::fault::sources::Sources;
 use crate::fault::state::ConnectionNumber;
 use crate::fault::state::LinkState;
 
@@ -33,17 +34,27 @@
     listener: TcpListener,
     mut state: watch::Receiver<LinkState>,
     counts: Arc<Counts>,
+    sources: Sources,
 ) {
     loop {
-        let client = tokio::select! {
+        let (client, peer) = tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((client, _)) => client,
+                Ok(accepted) => accepted,
                 Err(_) => continue,
             },
             () = closed(&mut state) => return,
         };
         let number = counts.accepted.fetch_add(1, Relaxed);
-        tokio::spawn(connection(client, number, state.clone(), counts.clone()));
+        let (state, counts, sources) = (state.clone(), counts.clone(), sources.clone());
+        tokio::spawn(async move {
+            let known = !state.borrow().delays.is_empty();
+            let source = if known {
+                sources.of_tcp(peer).await
+            } else {
+                None
+            };
+            connection(client, number, source, state, &counts).await;
+        });
     }
 }
 
@@ -54,14 +65,15 @@
 async fn connection(
     mut client: TcpStream,
     number: ConnectionNumber,
+    source: Option<String>,
     mut state: watch::Receiver<LinkState>,
-    counts: Arc<Counts>,
+    counts: &Counts,
 ) {
     counts.open.fetch_add(1, Relaxed);
     let mut watcher = state.clone();
     let mut target = None;
     let forwarded = async {
-        let server = target.insert(connect(number, &mut state).await?);
+        let server = target.insert(connect(number, source.as_deref(), &mut state).await?);
         let _ = client.set_nodelay(true);
         let _ = server.set_nodelay(true);
         let (client_read, client_write) = client.split();
@@ -70,13 +82,15 @@
             number,
             forward: true,
             state: state.clone(),
-            counts: &counts,
+            source: source.as_deref(),
+            counts,
         };
         let back = Direction {
             number,
             forward: false,
             state: state.clone(),
-            counts: &counts,
+            source: source.as_deref(),
+            counts,
         };
         tokio::try_join!(
             forward.run(client_read, server_write),
@@ -101,6 +115,7 @@
 /// during a cut fails when the cut ends, like one whose SYN was lost for too long.
 async fn connect(
     number: ConnectionNumber,
+    source: Option<&str>,
     state: &mut watch::Receiver<LinkState>,
 ) -> io::Result<TcpStream> {
     let gone = |_| io::Error::from(io::ErrorKind::ConnectionAborted);
@@ -113,7 +128,7 @@
             })
             .await
             .map_err(gone)?;
-        (open.target, open.delay)
+        (open.target, open.delay_of(source))
     };
     match target {
         Some(target) if !cut => {
@@ -128,6 +143,7 @@
 struct Direction<'a> {
     number: ConnectionNumber,
     forward: bool,
+    source: Option<&'a str>,
     state: watch::Receiver<LinkState>,
     counts: &'a Counts,
 }
@@ -135,8 +151,11 @@
 impl Direction<'_> {
     async fn run(self, read: ReadHalf<'_>, write: WriteHalf<'_>) -> io::Result<()> {
         let (queue, chunks) = mpsc::channel(IN_FLIGHT);
-        let state = self.state.clone();
-        tokio::try_join!(feed(read, queue, state), self.deliver(chunks, write))?;
+        let (source, state) = (self.source, self.state.clone());
+        tokio::try_join!(
+            feed(read, queue, source, state),
+            self.deliver(chunks, write)
+        )?;
         Ok(())
     }
 
@@ -193,13 +212,14 @@
 async fn feed(
     mut read: ReadHalf<'_>,
     queue: mpsc::Sender<(Instant, Bytes)>,
+    source: Option<&str>,
     state: watch::Receiver<LinkState>,
 ) -> io::Result<()> {
     let mut buffer = BytesMut::new();
     loop {
         buffer.reserve(CHUNK);
         let count = read.read_buf(&mut buffer).await?;
-        let due = Instant::now() + state.borrow().delay;
+        let due = Instant::now() + state.borrow().delay_of(source);
         if queue.send((due, buffer.split().freeze())).await.is_err() || count == 0 {
             return Ok(());
         }
--- a/crates/bench/src/fault/udp.rs
+++ b/crates/bench/src/fault/udp.rs
@@ -16,6 +16,7 @@
 
 use crate::fault::counts::Counts;
 use crate::fault::gate::Gate;
+use crate::fault::sources::Sources;
 use crate::fault::state::ConnectionNumber;
 use crate::fault::state::LinkState;
 
@@ -31,9 +32,10 @@
     socket: UdpSocket,
     mut state: watch::Receiver<LinkState>,
     counts: Arc<Counts>,
+    sources: Sources,
 ) {
     let socket = Arc::new(socket);
-    let mut flows: HashMap<SocketAddr, (ConnectionNumber, Queue)> = HashMap::new();
+    let mut flows: HashMap<SocketAddr, OpenFlow> = HashMap::new();
     let mut buffer = vec![0; DATAGRAM];
     loop {
         let (count, client) = tokio::select! {
@@ -44,27 +46,34 @@
             changed = state.changed() => match changed {
                 Ok(()) => {
                     let reset_below = state.borrow_and_update().reset_below;
-                    flows.retain(|_, (number, _)| *number >= reset_below);
+                    flows.retain(|_, flow| flow.number >= reset_below);
                     continue;
                 }
                 Err(_) => return,
             },
         };
-        let due = Instant::now() + state.borrow().delay;
-        let datagram = Bytes::copy_from_slice(&buffer[..count]);
-        let (_, queue) = flows.entry(client).or_insert_with(|| {
+        let flow = flows.entry(client).or_insert_with(|| {
+            let source = sources.of_udp(client);
             let number = counts.accepted.fetch_add(1, Relaxed);
             let (queue, datagrams) = mpsc::channel(IN_FLIGHT);
             let flow = Flow {
                 number,
                 client,
+                source: source.clone(),
                 socket: socket.clone(),
                 state: state.clone(),
                 counts: counts.clone(),
             };
             tokio::spawn(flow.run(datagrams));
-            (number, queue)
+            OpenFlow {
+                number,
+                source,
+                queue,
+            }
         });
+        let due = Instant::now() + state.borrow().delay_of(flow.source.as_deref());
+        let datagram = Bytes::copy_from_slice(&buffer[..count]);
+        let queue = &flow.queue;
         if queue.try_send((due, datagram)).is_err() {
             counts.discarded.fetch_add(count as u64, Relaxed);
         }
@@ -74,9 +83,17 @@
     }
 }
 
+/// The receiving task's part of a flow.
+struct OpenFlow {
+    number: ConnectionNumber,
+    source: Option<String>,
+    queue: Queue,
+}
+
 struct Flow {
     number: ConnectionNumber,
     client: SocketAddr,
+    source: Option<String>,
     socket: Arc<UdpSocket>,
     state: watch::Receiver<LinkState>,
     counts: Arc<Counts>,
@@ -108,7 +125,7 @@
             let Ok(count) = server.recv(&mut buffer).await else {
                 continue;
             };
-            let due = Instant::now() + self.state.borrow().delay;
+            let due = Instant::now() + self.state.borrow().delay_of(self.source.as_deref());
             let _ = queue.try_send((due, Bytes::copy_from_slice(&buffer[..count])));
         }
     }
--- a/crates/bench/src/member/recording.rs
+++ b/crates/bench/src/member/recording.rs
@@ -41,6 +41,9 @@
     pub connections: usize,
     pub peak: usize,
     pub dropped: usize,
+    /// Successful SELECT statements of data connections, by the first table that they name.
+    #[serde(default)]
+    pub reads: BTreeMap<String, u64>,
 }
 
 impl Recording {
@@ -53,6 +56,9 @@
     }
 
     pub(crate) fn statement(&mut self, statement: Statement) {
+        if let (Some(table), None) = (table_read(&statement.sql), &statement.error) {
+            *self.reads.entry(table.to_owned()).or_default() += 1;
+        }
         if !self.enabled {
             return;
         }
@@ -73,3 +79,13 @@
         };
     }
 }
+
+/// Table of a SELECT statement.
+fn table_read(sql: &str) -> Option<&str> {
+    let mut words = sql.split_whitespace();
+    if !words.next()?.eq_ignore_ascii_case("select") {
+        return None;
+    }
+    words.find(|word| word.eq_ignore_ascii_case("from"))?;
+    words.next()
+}
--- a/crates/bench/tests/fault.rs
+++ b/crates/bench/tests/fault.rs
@@ -1,5 +1,6 @@
 //! Guards against a fault proxy that injects other faults than those asked for.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +10,8 @@
 use magnoliahatch_bench::fault::link_settings::LinkSettings;
 use magnoliahatch_bench::fault::mode::LinkMode;
 use magnoliahatch_bench::fault::protocol::Protocol;
+use magnoliahatch_bench::fault::source::Source;
+use magnoliahatch_bench::fault::sources::Sources;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -36,15 +39,15 @@
 }
 
 async fn link(protocol: Protocol, target: SocketAddr, delay_us: u64) -> Link {
-    Link::bind(&LinkSettings {
+    let settings = LinkSettings {
         name: "a".to_owned(),
         protocol,
         listen: "127.0.0.1:0".parse().unwrap(),
         target: Some(target),
         delay_us,
-    })
-    .await
-    .unwrap()
+        delays_us: BTreeMap::new(),
+    };
+    Link::bind(&settings, Sources::default()).await.unwrap()
 }
 
 async fn tcp_link() -> Link {
@@ -193,6 +196,34 @@
     );
 }
 
+#[tokio::test]
+async fn known_process_has_its_own_delay() {
+    let sources = Sources::default();
+    let source = Source {
+        process: std::process::id(),
+        udp: None,
+    };
+    let settings = LinkSettings {
+        name: "a".to_owned(),
+        protocol: Protocol::Tcp,
+        listen: "127.0.0.1:0".parse().unwrap(),
+        target: Some(tcp_echo().await),
+        delay_us: 0,
+        delays_us: BTreeMap::from([("self".to_owned(), 150_000)]),
+    };
+    let link = Link::bind(&settings, sources.clone()).await.unwrap();
+    for (known, fast) in [(false, true), (true, false)] {
+        if known {
+            sources.set("self".to_owned(), source.clone());
+        }
+        let mut stream = connect(&link).await;
+        echo(&mut stream, b"warm").await.unwrap();
+        let start = Instant::now();
+        echo(&mut stream, b"abc").await.unwrap();
+        assert_eq!(start.elapsed() < Duration::from_millis(300), fast);
+    }
+}
+
 #[tokio::test]
 async fn udp_flows_pass_cut_and_freeze() {
     let server = UdpSocket::bind("127.0.0.1:0").await.unwrap();
--- a/crates/bench/tests/harness.rs
+++ b/crates/bench/tests/harness.rs
@@ -1,5 +1,6 @@
 //! Guards against a harness that leaves processes behind or signals the wrong ones.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use magnoliahatch_bench::fault::api::LinkChange;
@@ -107,6 +108,7 @@
         listen: "127.0.0.1:0".parse().unwrap(),
         target: None,
         delay_us: 0,
+        delays_us: BTreeMap::new(),
     };
     assert_ne!(faults.add(&second).await.unwrap().listen.port(), 0);
     assert!(faults.add(&second).await.is_err());
--- a/crates/bench/tests/member/control.rs
+++ b/crates/bench/tests/member/control.rs
@@ -32,6 +32,25 @@
     assert_eq!(member.recording().peak, 2);
 }
 
+/// Guards against a wrong share of reads in the reports of the load tool.
+#[tokio::test]
+async fn reads_are_counted_by_table_without_a_recording() {
+    let member = primary().await;
+    let data = connect(member.sql, "proxy").await;
+    let sql = "CREATE TABLE t (a INT); INSERT INTO t (a) VALUES (1); SELECT a FROM t; SELECT 1";
+    data.simple_query(sql).await.unwrap();
+    data.simple_query("select a from t where a = 2")
+        .await
+        .unwrap();
+    assert!(data.simple_query("SELECT missing FROM t").await.is_err());
+    let recording = member.recording();
+    assert_eq!(
+        recording.reads.into_iter().collect::<Vec<_>>(),
+        [("t".to_owned(), 2)]
+    );
+    assert!(recording.statements.is_empty());
+}
+
 #[tokio::test]
 async fn slots_limit_the_statements_that_run_at_once() {
     let member = start("m1", "\"primary\"", "\"connect_ms\": 0, \"slots\": 1,").await;
