--- a/crates/bench/src/fault/api.rs
+++ b/crates/bench/src/fault/api.rs
@@ -28,7 +28,7 @@
 use crate::fault::source::Source;
 
 /// Change of one link; absent fields stay as they are.
-#[derive(Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct LinkChange {
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/bench/src/harness/process.rs
+++ b/crates/bench/src/harness/process.rs
@@ -129,9 +129,14 @@
         self.signal(Signal::CONT)
     }
 
+    /// Asks for a graceful shutdown.
+    pub fn terminate(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::TERM)
+    }
+
     /// Asks for a graceful shutdown and waits for it.
     pub async fn stop(&mut self, limit: Duration) -> Result<ExitStatus, HarnessError> {
-        self.signal(Signal::TERM)?;
+        self.terminate()?;
         let deadline = Instant::now() + limit;
         loop {
             if let Some(status) = self.ended()? {
--- a/crates/bench/src/load/error.rs
+++ b/crates/bench/src/load/error.rs
@@ -20,6 +20,8 @@
     Output(#[from] std::io::Error),
     #[error("the results cannot be encoded: {0}")]
     Encode(#[from] serde_json::Error),
+    #[error("stopped before the end")]
+    Stopped,
     #[error("a task of the run panicked: {0}")]
     Task(#[from] tokio::task::JoinError),
 }
--- /dev/null
+++ b/crates/bench/src/load/report.rs
@@ -0,0 +1,153 @@
+//! Report of one run.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::history::verdict::Verdict;
+use crate::load::failover::Failover;
+use crate::load::fault_plan::Injected;
+use crate::load::reads::ReadShare;
+use crate::load::summary::Summary;
+
+/// Report of one run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    pub scenario: String,
+    pub variant: String,
+    pub repeat: u32,
+    pub seed: u64,
+    pub length_ms: u64,
+    pub organisations: Vec<Summary>,
+    pub reads: ReadShare,
+    pub failovers: Vec<Failover>,
+    pub faults: Vec<Injected>,
+    pub verdict: Verdict,
+}
+
+impl Report {
+    /// Organisation with the lowest ratio of served to offered inside its contract; of equal
+    /// ones that with the highest 99th percentile.
+    pub fn worst(&self) -> Option<&Summary> {
+        let order = |summary: &&Summary| (summary.ratio, -summary.all.p99_ms);
+        self.organisations.iter().min_by(|a, b| {
+            let ((ratio_a, p99_a), (ratio_b, p99_b)) = (order(a), order(b));
+            ratio_a.total_cmp(&ratio_b).then(p99_a.total_cmp(&p99_b))
+        })
+    }
+
+    /// Longest failover gap; infinite if a database had no acknowledged write after its fault.
+    pub fn longest_gap(&self) -> Option<f64> {
+        let gaps = self
+            .failovers
+            .iter()
+            .map(|f| f.gap_ms.unwrap_or(f64::INFINITY));
+        gaps.max_by(f64::total_cmp)
+    }
+
+    /// Attempts refused while the organisation was inside its contract.
+    pub fn wrongful(&self) -> u64 {
+        self.organisations
+            .iter()
+            .map(|summary| summary.wrongful)
+            .sum()
+    }
+
+    /// Violations of one kind.
+    pub fn violations(&self, kind: &str) -> usize {
+        self.verdict.counts().get(kind).copied().unwrap_or(0)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} / {}, repeat {}, seed {}, {:.1} s",
+            self.scenario,
+            self.variant,
+            self.repeat,
+            self.seed,
+            self.length_ms as f64 / 1000.0
+        )?;
+        writeln!(
+            f,
+            "{:<16} {:>8} {:>8} {:>8} {:>6} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9}",
+            "organisation",
+            "offered",
+            "inside",
+            "served",
+            "ratio",
+            "unknown",
+            "wrongful",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "max ms"
+        )?;
+        for summary in &self.organisations {
+            writeln!(
+                f,
+                "{:<16} {:>8} {:>8} {:>8} {:>6.3} {:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>9.1}",
+                summary.organisation,
+                summary.offered,
+                summary.inside,
+                summary.served,
+                summary.ratio,
+                summary.unknown,
+                summary.wrongful,
+                summary.all.p50_ms,
+                summary.all.p99_ms,
+                summary.all.p999_ms,
+                summary.all.max_ms
+            )?;
+        }
+        for summary in self.organisations.iter().filter(|s| !s.failures.is_empty()) {
+            let failures = summary.failures.iter();
+            let failures: Vec<_> = failures.map(|(code, n)| format!("{code} x {n}")).collect();
+            writeln!(
+                f,
+                "failed attempts of {}: {}",
+                summary.organisation,
+                failures.join(", ")
+            )?;
+        }
+        for fault in &self.faults {
+            let process = fault.process.as_deref().unwrap_or("-");
+            let error = fault.error.as_deref().unwrap_or("done");
+            let at = fault.at.as_secs_f64();
+            writeln!(
+                f,
+                "fault at {at:.3} s: {:?} -> {process}: {error}",
+                fault.action
+            )?;
+        }
+        writeln!(
+            f,
+            "reads by replicas: {:.1}% ({} of {})",
+            self.reads.share * 100.0,
+            self.reads.replicas,
+            self.reads.replicas + self.reads.primaries
+        )?;
+        for failover in &self.failovers {
+            let gap = failover.gap_ms.map(|gap| format!("{gap:.0} ms"));
+            let gap = gap.unwrap_or_else(|| "no acknowledged write after it".to_owned());
+            writeln!(f, "failover gap of {}: {gap}", failover.database)?;
+        }
+        if let Some(worst) = self.worst() {
+            writeln!(
+                f,
+                "worst-served organisation: {} (ratio {:.3}, p99 {:.1} ms)",
+                worst.organisation, worst.ratio, worst.all.p99_ms
+            )?;
+        }
+        writeln!(f, "wrongful refusals: {}", self.wrongful())?;
+        writeln!(
+            f,
+            "lost writes: {}, doubled writes: {}",
+            self.violations("lost-write"),
+            self.violations("doubled-write")
+        )?;
+        write!(f, "{}", self.verdict)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/run.rs
@@ -0,0 +1,258 @@
+//! One run of a scenario.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex as BlockingMutex;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::harness::fleet::Binaries;
+use crate::harness::fleet::Fleet;
+use crate::history::checker;
+use crate::history::record::Record;
+use crate::history::record::SessionNumber;
+use crate::load::allowance::Allowance;
+use crate::load::arrivals::Arrivals;
+use crate::load::collector;
+use crate::load::collector::Results;
+use crate::load::error::LoadError;
+use crate::load::failover;
+use crate::load::fault_plan::Injected;
+use crate::load::injector;
+use crate::load::organisation::OrganisationPlan;
+use crate::load::prepare;
+use crate::load::reads;
+use crate::load::reads::ReadShare;
+use crate::load::report::Report;
+use crate::load::sample::Kind;
+use crate::load::sample::Sample;
+use crate::load::scenario::Scenario;
+use crate::load::scenario::Variant;
+use crate::load::session::Due;
+use crate::load::session::Session;
+use crate::load::session::Shared;
+use crate::load::summary::Summary;
+use crate::load::target::Caller;
+use crate::load::target::Entry;
+
+/// Operations still waiting for a session this long after the load are given up.
+const GRACE: Duration = Duration::from_secs(2);
+/// Time between the end of the preparations and the first arrival.
+const LEAD: Duration = Duration::from_millis(200);
+
+/// What a run needs besides its scenario.
+#[derive(Debug, Clone)]
+pub struct RunOptions {
+    pub binaries: PathBuf,
+    pub repeat: u32,
+    pub seed: u64,
+    pub history: Option<PathBuf>,
+}
+
+/// Starts the fleet of a variant, runs the load with its faults, audits and checks the history.
+pub async fn run(
+    scenario: &Scenario,
+    variant: &Variant,
+    options: &RunOptions,
+) -> Result<Report, LoadError> {
+    let binaries = Binaries {
+        folder: options.binaries.clone(),
+        daemon: variant.daemon_binary.clone(),
+    };
+    let contracts = scenario.contracts();
+    let fleet = Fleet::start(scenario.fleet_of(variant), &contracts, binaries).await?;
+    let hosts = &fleet.plan().hosts;
+    let entries = hosts.iter().map(|host| {
+        Ok(Entry {
+            host: host.name.clone(),
+            sql: fleet.entry(&host.name)?,
+        })
+    });
+    let entries = Arc::new(entries.collect::<Result<Vec<_>, LoadError>>()?);
+    let callers = callers(scenario, &fleet)?;
+    for database in &fleet.plan().databases {
+        // Any organisation may create the table; the first that uses the database does.
+        let mut users = callers.iter().flatten();
+        if let Some((_, caller)) = users.find(|(_, caller)| caller.route == database.name) {
+            prepare::wait_for(&entries, caller).await?;
+            prepare::create(&entries, caller).await?;
+        }
+    }
+    let fleet = Arc::new(Mutex::new(fleet));
+    let (results, injected, reads, start) =
+        load(scenario, options, &fleet, &entries, &callers).await?;
+    let mut records = results.records;
+    for (_, caller) in callers.iter().flatten() {
+        records.push(prepare::audit(&entries, caller, start).await?);
+    }
+    let samples = results.samples;
+    let records = match &options.history {
+        Some(path) => collector::write(path.clone(), records).await?,
+        None => records,
+    };
+    Ok(report(
+        scenario, variant, options, &records, &samples, injected, reads,
+    ))
+}
+
+/// Callers of each organisation with the index of their database.
+fn callers(scenario: &Scenario, fleet: &Fleet) -> Result<Vec<Vec<(usize, Caller)>>, LoadError> {
+    let databases = &fleet.plan().databases;
+    let of = |plan: &OrganisationPlan| {
+        let uses = |name: &String| plan.databases.is_empty() || plan.databases.contains(name);
+        let used = databases
+            .iter()
+            .enumerate()
+            .filter(|(_, database)| uses(&database.name));
+        let callers = used.map(|(index, database)| {
+            let caller = Caller {
+                organisation: plan.name.clone(),
+                route: database.name.clone(),
+                key: fleet.key(&plan.name)?.to_owned(),
+            };
+            Ok((index, caller))
+        });
+        callers.collect()
+    };
+    scenario.organisations.iter().map(of).collect()
+}
+
+/// Runs the load and the faults until all sessions have ended.
+async fn load(
+    scenario: &Scenario,
+    options: &RunOptions,
+    fleet: &Arc<Mutex<Fleet>>,
+    entries: &Arc<Vec<Entry>>,
+    callers: &[Vec<(usize, Caller)>],
+) -> Result<(Results, Vec<Injected>, ReadShare, Instant), LoadError> {
+    let start = Instant::now() + LEAD;
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let collected = tokio::spawn(collector::collect(receiver));
+    let (stop, stopped) = oneshot::channel();
+    let reads = tokio::spawn(reads::count(Arc::clone(fleet), stopped));
+    let faults = scenario.faults.clone();
+    let injected = tokio::spawn(injector::inject(Arc::clone(fleet), faults, start));
+
+    let mut tasks = JoinSet::new();
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let mut number: SessionNumber = 0;
+    for (organisation, plan) in scenario.organisations.iter().enumerate() {
+        let sent = Arc::new(BlockingMutex::new(Allowance::new(plan.rate, plan.burst)));
+        let mut queues = Vec::new();
+        for (position, (database, caller)) in callers[organisation].iter().enumerate() {
+            let shared = Arc::new(Shared {
+                plan: plan.clone(),
+                organisation,
+                database: *database,
+                caller: caller.clone(),
+                entries: Arc::clone(entries),
+                start,
+                deadline: Duration::from_millis(scenario.deadline_ms),
+                end: scenario.length() + GRACE,
+                sent: Arc::clone(&sent),
+                keys: BlockingMutex::default(),
+                results: sender.clone(),
+            });
+            let (queue, due) = mpsc::unbounded_channel();
+            let due = Arc::new(Mutex::new(due));
+            // The sessions are spread evenly over the databases, at least one each.
+            let used = callers[organisation].len();
+            let sessions = (plan.sessions as usize + used - 1 - position) / used;
+            for _ in 0..sessions.max(1) {
+                number += 1;
+                let seed = StdRng::seed_from_u64(random.random());
+                let session = Session::new(Arc::clone(&shared), number, seed);
+                tasks.spawn(session.run(Arc::clone(&due)));
+            }
+            queues.push(queue);
+        }
+        let seed = random.random();
+        tasks.spawn(offer(plan.clone(), scenario.length(), start, queues, seed));
+    }
+    drop(sender);
+    while let Some(ended) = tasks.join_next().await {
+        ended?;
+    }
+    let injected = injected.await?;
+    drop(stop);
+    Ok((collected.await?, injected, reads.await?, start))
+}
+
+/// Queues the operations of one organisation when they are due.
+async fn offer(
+    plan: OrganisationPlan,
+    length: Duration,
+    start: Instant,
+    queues: Vec<mpsc::UnboundedSender<Due>>,
+    seed: u64,
+) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let arrivals = Arrivals::new(&plan, length, StdRng::seed_from_u64(random.random()));
+    let mut allowance = Allowance::new(plan.rate, plan.burst);
+    for at in arrivals {
+        let kind = if !random.random_bool(plan.writes) {
+            Kind::Read
+        } else if random.random_bool(plan.transactions) {
+            Kind::Transaction
+        } else {
+            Kind::Write
+        };
+        let inside = allowance.take(at, kind.statements());
+        let queue = &queues[random.random_range(0..queues.len())];
+        sleep_until(start + at).await;
+        // Sessions end only after their queue.
+        let _ = queue.send(Due { at, inside, kind });
+    }
+}
+
+fn report(
+    scenario: &Scenario,
+    variant: &Variant,
+    options: &RunOptions,
+    records: &[Record],
+    samples: &[Sample],
+    faults: Vec<Injected>,
+    reads: ReadShare,
+) -> Report {
+    let databases = &scenario.fleet.databases;
+    let organisations = scenario
+        .organisations
+        .iter()
+        .enumerate()
+        .map(|(index, plan)| {
+            let own: Vec<_> = samples.iter().filter(|s| s.organisation == index).collect();
+            Summary::of(plan.name.clone(), &own)
+        });
+    let failovers = faults
+        .iter()
+        .filter(|fault| fault.error.is_none())
+        .filter_map(|fault| {
+            let name = fault.action.failed_database()?;
+            let index = databases
+                .iter()
+                .position(|database| database.name == name)?;
+            let own: Vec<_> = samples.iter().filter(|s| s.database == index).collect();
+            Some(failover::measure(fault, name, &own))
+        });
+    Report {
+        scenario: scenario.name.clone(),
+        variant: variant.name.clone(),
+        repeat: options.repeat,
+        seed: options.seed,
+        length_ms: scenario.length_ms,
+        organisations: organisations.collect(),
+        failovers: failovers.collect(),
+        reads,
+        faults,
+        verdict: checker::check(records, &scenario.limits()),
+    }
+}
--- a/crates/bench/src/load/sample.rs
+++ b/crates/bench/src/load/sample.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::history::outcome::Outcome;
+use crate::load::organisation::TRANSACTION_STATEMENTS;
 
 /// Kind of an operation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -12,6 +13,16 @@
     Transaction,
 }
 
+impl Kind {
+    /// Statements of one operation.
+    pub fn statements(self) -> u32 {
+        match self {
+            Self::Read | Self::Write => 1,
+            Self::Transaction => TRANSACTION_STATEMENTS,
+        }
+    }
+}
+
 /// An attempt that was refused.
 #[derive(Debug, Clone)]
 pub struct Refusal {
--- /dev/null
+++ b/crates/bench/src/load/scenario.rs
@@ -0,0 +1,160 @@
+//! Scenario files.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use magnoliahatch_core::ids::OrganisationId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::harness::plan::ContractPlan;
+use crate::harness::plan::FleetPlan;
+use crate::harness::plan::MemberTuning;
+use crate::history::limit::Limit;
+use crate::load::error::LoadError;
+use crate::load::fault_plan::FaultPlan;
+use crate::load::organisation::OrganisationPlan;
+
+/// A scenario: fleet, load, faults, and the variants to compare.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    /// Drawn and printed if it is absent.
+    #[serde(default)]
+    pub seed: Option<u64>,
+    /// Length of the load.
+    pub length_ms: u64,
+    /// Runs of each variant.
+    #[serde(default = "default_repeats")]
+    pub repeats: u32,
+    /// Limit of a caller for each statement.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: u64,
+    pub fleet: FleetPlan,
+    pub organisations: Vec<OrganisationPlan>,
+    #[serde(default)]
+    pub faults: Vec<FaultPlan>,
+    /// Compared with the first one; a single unchanged one if empty.
+    #[serde(default)]
+    pub variants: Vec<Variant>,
+}
+
+/// Settings or build that a comparison varies.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Variant {
+    pub name: String,
+    /// Fields added to each daemon's settings file.
+    #[serde(default)]
+    pub daemon: serde_json::Map<String, serde_json::Value>,
+    #[serde(default)]
+    pub members: Option<MemberTuning>,
+    /// Daemon of another build.
+    #[serde(default)]
+    pub daemon_binary: Option<PathBuf>,
+}
+
+impl Scenario {
+    /// Checks what the types cannot.
+    pub fn validate(&self) -> Result<(), LoadError> {
+        let refuse = |text: String| Err(LoadError::Scenario(text));
+        if let Some(place) = self.fleet.unknown_places().first() {
+            return refuse(format!("fleet.data_centres has no `{place}`"));
+        }
+        if self.fleet.hosts.is_empty() || self.fleet.databases.is_empty() {
+            return refuse("fleet.hosts and fleet.databases need at least one entry".to_owned());
+        }
+        for organisation in &self.organisations {
+            let name = &organisation.name;
+            let known = |wanted: &str| {
+                self.fleet
+                    .databases
+                    .iter()
+                    .any(|found| found.name == wanted)
+            };
+            if let Some(missing) = organisation.databases.iter().find(|name| !known(name)) {
+                return refuse(format!("{name}: fleet.databases has no `{missing}`"));
+            }
+            if !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-') {
+                return refuse(format!(
+                    "{name}: names consist of letters, digits and hyphens"
+                ));
+            }
+            if organisation.sessions == 0 || organisation.rate <= 0.0 {
+                return refuse(format!("{name}: sessions and rate must be above 0"));
+            }
+            let shares = [
+                organisation.writes,
+                organisation.transactions,
+                organisation.roam,
+            ];
+            if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
+                return refuse(format!(
+                    "{name}: writes, transactions and roam are from 0 to 1"
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Length of the load.
+    pub fn length(&self) -> Duration {
+        Duration::from_millis(self.length_ms)
+    }
+
+    /// The variants to run, at least one.
+    pub fn variants(&self) -> Vec<Variant> {
+        if self.variants.is_empty() {
+            let name = self.name.clone();
+            return vec![Variant {
+                name,
+                ..Variant::default()
+            }];
+        }
+        self.variants.clone()
+    }
+
+    /// Fleet of a variant.
+    pub fn fleet_of(&self, variant: &Variant) -> FleetPlan {
+        let mut fleet = self.fleet.clone();
+        fleet.members = variant.members.unwrap_or(fleet.members);
+        for (field, value) in &variant.daemon {
+            fleet.daemon.insert(field.clone(), value.clone());
+        }
+        fleet
+    }
+
+    /// Contracts to write to the store.
+    pub fn contracts(&self) -> Vec<ContractPlan> {
+        let contract = |plan: &OrganisationPlan| ContractPlan {
+            name: plan.name.clone(),
+            rate: plan.rate,
+            burst: plan.burst,
+            max_age_ms: plan.max_age_ms,
+            weight: plan.weight,
+        };
+        self.organisations.iter().map(contract).collect()
+    }
+
+    /// Limits to check the history against.
+    pub fn limits(&self) -> BTreeMap<OrganisationId, Limit> {
+        let limit = |plan: &OrganisationPlan| Limit {
+            rate: plan.rate,
+            burst: plan.burst,
+        };
+        self.organisations
+            .iter()
+            .map(|plan| (plan.name.clone(), limit(plan)))
+            .collect()
+    }
+}
+
+fn default_repeats() -> u32 {
+    1
+}
+
+fn default_deadline() -> u64 {
+    12_000
+}
--- a/crates/bench/src/load/session.rs
+++ b/crates/bench/src/load/session.rs
@@ -8,7 +8,6 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
-use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -25,7 +24,6 @@
 use crate::load::connection::Connection;
 use crate::load::failure::Failure;
 use crate::load::organisation::OrganisationPlan;
-use crate::load::organisation::TRANSACTION_STATEMENTS;
 use crate::load::sample::Kind;
 use crate::load::sample::Refusal;
 use crate::load::sample::Sample;
@@ -64,14 +62,17 @@
     pub organisation: usize,
     pub database: usize,
     pub caller: Caller,
-    pub entries: watch::Receiver<Vec<Entry>>,
+    /// Links to the hosts; a host that starts again keeps its link.
+    pub entries: Arc<Vec<Entry>>,
     pub start: Instant,
     pub deadline: Duration,
+    /// Operations that no session could start by then are given up.
+    pub end: Duration,
     /// Load that was sent, against the contract.
     pub sent: Arc<Mutex<Allowance>>,
     /// Keys in use.
     pub keys: Mutex<Vec<RowKey>>,
-    pub results: mpsc::UnboundedSender<(Record, Sample)>,
+    pub results: mpsc::UnboundedSender<(Option<Record>, Sample)>,
 }
 
 /// One caller's session.
@@ -106,6 +107,7 @@
         loop {
             let due = queue.lock().await.recv().await;
             match due {
+                Some(due) if self.shared.start.elapsed() > self.shared.end => self.give_up(due),
                 Some(due) => self.perform(due).await,
                 None => break,
             }
@@ -115,16 +117,29 @@
         }
     }
 
+    fn give_up(&self, due: Due) {
+        let sample = Sample {
+            organisation: self.shared.organisation,
+            database: self.shared.database,
+            kind: due.kind,
+            intended: due.at,
+            answered: self.shared.start.elapsed(),
+            outcome: Outcome::NotRun,
+            served: false,
+            inside: due.inside,
+            statements: due.kind.statements(),
+            refusals: Vec::new(),
+        };
+        let _ = self.shared.results.send((None, sample));
+    }
+
     async fn perform(&mut self, due: Due) {
         let shared = Arc::clone(&self.shared);
         if self.random.random_bool(shared.plan.roam) {
             self.leave().await;
         }
         let content = self.content(due.kind);
-        let statements = match due.kind {
-            Kind::Transaction => TRANSACTION_STATEMENTS,
-            Kind::Read | Kind::Write => 1,
-        };
+        let statements = due.kind.statements();
         let invoked = shared.start.elapsed();
         let mut refusals = Vec::new();
         let mut attempts = 0;
@@ -194,7 +209,7 @@
             refusals,
         };
         // The receiver outlives the sessions; it ends early only when the run is given up.
-        let _ = shared.results.send((record, sample));
+        let _ = shared.results.send((Some(record), sample));
     }
 
     fn content(&mut self, kind: Kind) -> Content {
@@ -294,7 +309,7 @@
     }
 
     fn entry(&self) -> Entry {
-        let entries = self.shared.entries.borrow();
+        let entries = &self.shared.entries;
         entries[self.host % entries.len()].clone()
     }
 
@@ -307,7 +322,7 @@
 
     /// Uses another host from now on.
     fn move_on(&mut self) {
-        let count = self.shared.entries.borrow().len();
+        let count = self.shared.entries.len();
         if count > 1 {
             self.host = self.host % count + self.random.random_range(1..count);
         }
--- a/crates/bench/src/load/statement.rs
+++ b/crates/bench/src/load/statement.rs
@@ -5,6 +5,9 @@
 use crate::history::operation::RowId;
 use crate::history::operation::RowKey;
 
+/// The table of the load.
+pub const TABLE: &str = "bench_rows";
+
 /// Statements that create the table.
 pub const CREATE: [&str; 2] = [
     "CREATE TABLE IF NOT EXISTS bench_rows \
