--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -1,1 +1,26 @@
 //! Open-loop load and experiment tool.
+
+pub mod allowance;
+pub mod answer;
+pub mod arrivals;
+mod attempt;
+pub mod collector;
+pub mod comparison;
+pub mod connection;
+pub mod error;
+pub mod experiment;
+pub mod failover;
+pub mod failure;
+pub mod fault_plan;
+pub mod injector;
+pub mod organisation;
+pub mod prepare;
+pub mod reads;
+pub mod report;
+pub mod run;
+pub mod sample;
+pub mod scenario;
+pub mod session;
+pub mod statement;
+pub mod summary;
+pub mod target;
