--- a/crates/bench/src/harness/fleet.rs
+++ b/crates/bench/src/harness/fleet.rs
@@ -296,6 +296,7 @@
                 members: members.collect::<Result<_, HarnessError>>()?,
                 connections: plan.connections,
                 slots: plan.slots,
+                member_rate: None,
             };
             objects::put(&store, kind::DATABASE, &plan.name, &database).await?;
             // Each route has the name of its database.
