Follow the store through silent links and report lost answers truly

When open connections went silent, each idle connection of the pool cost a daemon one call limit before it opened a new one: a change was not in force after 30 s. The store client now drops its pool after a failed call. A lost answer followed by another operator's change was reported as a conflict although it had taken effect; the client now finds its own change in the history. The administration API says when a change may have taken effect, and repeated key changes are idempotent.

--- a/crates/client/src/store.rs
+++ b/crates/client/src/store.rs
@@ -1,8 +1,12 @@
 //! Client of the platform's object store.
 
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::Revision;
+use reqwest::RequestBuilder;
 use reqwest::StatusCode;
 use serde::de::DeserializeOwned;
 
@@ -17,35 +21,30 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Added to a watch's own waiting time for the answer to arrive.
 const WATCH_SLACK: Duration = Duration::from_secs(2);
-
 /// Handle to the store; clones share one connection pool.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
     base: String,
-    http: reqwest::Client,
+    /// Replaced when a call fails. When a link goes silent, every pooled connection would otherwise
+    /// cost one call limit before a new one is opened.
+    http: Arc<RwLock<reqwest::Client>>,
 }
 
 impl StoreClient {
     /// Opens a client for a base URL such as `http://127.0.0.1:7000`.
     pub fn open(base: &str) -> Result<Self, StoreError> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(CALL_TIMEOUT)
-            .build()
-            .map_err(StoreError::Unavailable)?;
         Ok(Self {
             base: base.trim_end_matches('/').to_owned(),
-            http,
+            http: Arc::new(RwLock::new(pool().map_err(StoreError::Unavailable)?)),
         })
     }
 
     /// Reads one object.
     pub async fn get(&self, kind: &str, name: &str) -> Result<StoredObject, StoreError> {
-        let request = self
-            .http
-            .get(self.object_url(kind, name))
-            .timeout(CALL_TIMEOUT);
-        let answer = request.send().await.map_err(StoreError::Unavailable)?;
+        let url = self.object_url(kind, name);
+        let answer = self
+            .send(|http| http.get(url).timeout(CALL_TIMEOUT))
+            .await?;
         if answer.status() == StatusCode::NOT_FOUND {
             return Err(not_found(kind, name));
         }
@@ -55,14 +54,18 @@
     /// Lists all objects of a kind with the store's revision.
     pub async fn list(&self, kind: &str) -> Result<ObjectList, StoreError> {
         let url = format!("{}/objects/{kind}", self.base);
-        let request = self.http.get(url).timeout(CALL_TIMEOUT);
-        decode(request.send().await.map_err(StoreError::Unavailable)?).await
+        decode(
+            self.send(|http| http.get(url).timeout(CALL_TIMEOUT))
+                .await?,
+        )
+        .await
     }
 
     /// Writes an object if its version is still `expected` (0: must not exist).
     ///
     /// When the answer was lost, the object is read again: an object that carries this draft's
-    /// change id shows that the change took effect.
+    /// change id shows that the change took effect. If it was already replaced, the history tells.
+    /// `Unavailable` means that the change may have taken effect; `Conflict`, that it never will.
     pub async fn put(
         &self,
         kind: &str,
@@ -70,26 +73,38 @@
         expected: Revision,
         draft: &Draft,
     ) -> Result<StoredObject, StoreError> {
-        match self.put_once(kind, name, expected, draft).await {
-            Err(StoreError::Unavailable(cause)) => match self.get(kind, name).await {
-                Ok(found) if found.change_id == draft.change_id => Ok(found),
-                _ => Err(StoreError::Unavailable(cause)),
-            },
-            Err(StoreError::Conflict {
-                kind,
-                name,
+        let failure = match self.put_once(kind, name, expected, draft).await {
+            Err(error @ (StoreError::Unavailable(_) | StoreError::Conflict { .. })) => error,
+            other => return other,
+        };
+        let current = match self.get(kind, name).await {
+            Ok(found) if found.change_id == draft.change_id => return Ok(found),
+            Ok(found) => found.version,
+            Err(StoreError::NotFound { .. }) => 0,
+            Err(_) => return Err(failure),
+        };
+        // A conflict is certain unless the object carries this draft's change id, which it does if
+        // the request arrived twice.
+        if matches!(failure, StoreError::Conflict { .. }) {
+            return Err(failure);
+        }
+        // At the expected version the request may still arrive. For a creation, the history since
+        // an unknown time would be needed.
+        if current == expected || expected == 0 {
+            return Err(failure);
+        }
+        let Ok(history) = self.watch(expected, Duration::ZERO).await else {
+            return Err(failure);
+        };
+        let mut objects = history.changes.into_iter().filter_map(|c| c.object);
+        match objects.find(|object| object.change_id == draft.change_id) {
+            Some(mine) => Ok(mine),
+            None => Err(StoreError::Conflict {
+                kind: kind.to_owned(),
+                name: name.to_owned(),
                 expected,
                 current,
-            }) => match self.get(&kind, &name).await {
-                Ok(found) if found.change_id == draft.change_id => Ok(found),
-                _ => Err(StoreError::Conflict {
-                    kind,
-                    name,
-                    expected,
-                    current,
-                }),
-            },
-            other => other,
+            }),
         }
     }
 
@@ -100,13 +115,14 @@
         expected: Revision,
         draft: &Draft,
     ) -> Result<StoredObject, StoreError> {
-        let request = self
-            .http
-            .put(self.object_url(kind, name))
-            .query(&[("if_version", expected)])
-            .json(draft)
-            .timeout(CALL_TIMEOUT);
-        let answer = request.send().await.map_err(StoreError::Unavailable)?;
+        let url = self.object_url(kind, name);
+        let request = |http: &reqwest::Client| {
+            http.put(url)
+                .query(&[("if_version", expected)])
+                .json(draft)
+                .timeout(CALL_TIMEOUT)
+        };
+        let answer = self.send(request).await?;
         if answer.status() == StatusCode::CONFLICT {
             return Err(conflict(kind, name, expected, answer).await);
         }
@@ -138,12 +154,13 @@
         name: &str,
         expected: Revision,
     ) -> Result<(), StoreError> {
-        let request = self
-            .http
-            .delete(self.object_url(kind, name))
-            .query(&[("if_version", expected)])
-            .timeout(CALL_TIMEOUT);
-        let answer = request.send().await.map_err(StoreError::Unavailable)?;
+        let url = self.object_url(kind, name);
+        let request = |http: &reqwest::Client| {
+            http.delete(url)
+                .query(&[("if_version", expected)])
+                .timeout(CALL_TIMEOUT)
+        };
+        let answer = self.send(request).await?;
         match answer.status() {
             StatusCode::NOT_FOUND => Err(not_found(kind, name)),
             StatusCode::CONFLICT => Err(conflict(kind, name, expected, answer).await),
@@ -154,12 +171,32 @@
     /// Waits for changes after a revision; the list is empty when the wait ended first.
     pub async fn watch(&self, after: Revision, wait: Duration) -> Result<ChangeList, StoreError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let request = self
+        let url = format!("{}/watch", self.base);
+        let request = |http: &reqwest::Client| {
+            http.get(url)
+                .query(&[("after", after), ("wait_ms", wait_ms)])
+                .timeout(wait + WATCH_SLACK)
+        };
+        decode(self.send(request).await?).await
+    }
+
+    async fn send(
+        &self,
+        request: impl FnOnce(&reqwest::Client) -> RequestBuilder,
+    ) -> Result<reqwest::Response, StoreError> {
+        let http = self
             .http
-            .get(format!("{}/watch", self.base))
-            .query(&[("after", after), ("wait_ms", wait_ms)])
-            .timeout(wait + WATCH_SLACK);
-        decode(request.send().await.map_err(StoreError::Unavailable)?).await
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let failure = match request(&http).send().await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        if let Ok(fresh) = pool() {
+            *self.http.write().unwrap_or_else(PoisonError::into_inner) = fresh;
+        }
+        Err(StoreError::Unavailable(failure))
     }
 
     fn object_url(&self, kind: &str, name: &str) -> String {
@@ -168,6 +205,13 @@
     }
 }
 
+fn pool() -> Result<reqwest::Client, reqwest::Error> {
+    reqwest::Client::builder()
+        .no_proxy()
+        .connect_timeout(CALL_TIMEOUT)
+        .build()
+}
+
 async fn decode<T: DeserializeOwned>(answer: reqwest::Response) -> Result<T, StoreError> {
     let body = success(answer)?
         .bytes()
--- a/crates/daemon/src/admin/api/keys.rs
+++ b/crates/daemon/src/admin/api/keys.rs
@@ -37,7 +37,10 @@
     let organisation = path.into_inner().organisation;
     let created = keys::create();
     let accepted = change_keys(context.context(), &organisation, |contract| {
-        contract.keys.push(created.hash.clone());
+        // It is there if an earlier attempt took effect and the contract was then changed further.
+        if !contract.has_key(&created.hash.id) {
+            contract.keys.push(created.hash.clone());
+        }
         Ok(())
     })
     .await?;
--- a/crates/daemon/src/admin/context.rs
+++ b/crates/daemon/src/admin/context.rs
@@ -135,11 +135,11 @@
             Some(value) => {
                 let draft = Edit::draft(value);
                 let put = self.store.put(edit.kind, &edit.name, edit.expected, &draft);
-                Some(put.await?.version)
+                Some(put.await.map_err(AdminError::of_write)?.version)
             }
             None => {
                 let deletion = self.store.delete(edit.kind, &edit.name, edit.expected);
-                deletion.await?;
+                deletion.await.map_err(AdminError::of_write)?;
                 None
             }
         };
--- a/crates/daemon/src/admin/error.rs
+++ b/crates/daemon/src/admin/error.rs
@@ -47,6 +47,11 @@
     },
     #[error(transparent)]
     Store(#[from] StoreError),
+    #[error(
+        "the store did not confirm the change, which may have taken effect; check with `show` \
+         before repeating it: {0}"
+    )]
+    Unconfirmed(#[source] StoreError),
     #[error(
         "the deletion took effect, but its version is unknown because the store became \
          unavailable; do not repeat it: {0}"
@@ -123,6 +128,14 @@
 }
 
 impl AdminError {
+    /// Failure of a write.
+    pub(super) fn of_write(error: StoreError) -> Self {
+        match error {
+            StoreError::Unavailable(_) => Self::Unconfirmed(error),
+            error => Self::Store(error),
+        }
+    }
+
     /// Kind of failure, for programs.
     pub fn code(&self) -> ProblemCode {
         match self {
@@ -138,6 +151,7 @@
             Self::Store(StoreError::Format(_)) => ProblemCode::Unreadable,
             Self::Store(StoreError::Status(_)) | Self::DeletionMissing => ProblemCode::Internal,
             Self::Store(StoreError::Unavailable(_))
+            | Self::Unconfirmed(_)
             | Self::DeletionVersion(_)
             | Self::NotUndone { .. } => ProblemCode::StoreUnavailable,
             Self::Switchover { .. } => ProblemCode::SwitchoverFailed,
--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -403,13 +403,24 @@
         .await
         .unwrap();
     assert_eq!((version, key.version), (1, 2));
+    // Of racing operators, the losers learn the newer version although no answer arrives.
+    let operators: Vec<_> = (0..4).map(|index| fleet.operator(index)).collect();
+    let body = terms(6.0);
+    let calls = operators
+        .iter()
+        .map(|operator| operator.put::<Accepted>("/contracts/a", Some(2), &body));
+    let results = join_all(calls).await;
+    assert_eq!(results.iter().filter(|result| result.is_ok()).count(), 1);
+    for error in results.into_iter().filter_map(Result::err) {
+        assert_eq!(error.exit_code(), 3, "{error}");
+    }
     let gone = fleet
         .operator(0)
-        .delete::<Accepted>("/contracts/a", Some(2))
+        .delete::<Accepted>("/contracts/a", Some(3))
         .await;
-    assert_eq!(gone.unwrap().version, 3);
+    assert_eq!(gone.unwrap().version, 4);
     fleet.server.set_fault(Fault::None);
-    assert_eq!(fleet.newest().await.revision, 3);
+    assert_eq!(fleet.newest().await.revision, 4);
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/config.rs
+++ b/crates/daemon/tests/config.rs
@@ -3,8 +3,11 @@
 
 mod store_support;
 
+use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
+use futures::future::join_all;
 use magnoliahatch_bench::store::fault::Answer;
 use magnoliahatch_bench::store::fault::Fault;
 use magnoliahatch_client::objects::host_status::HostStatus;
@@ -19,6 +22,10 @@
 use store_support::store;
 use store_support::store_at;
 use store_support::until;
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 const DOWN: Fault = Fault::Down {
     answer: Answer::Refuse,
@@ -137,6 +144,45 @@
     while views.changed().await.is_ok() {}
 }
 
+/// Forwards connections; after a signal, those that are open pass nothing more in either direction.
+async fn proxy(target: SocketAddr) -> (SocketAddr, watch::Sender<u32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (silence, silenced) = watch::channel(0);
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut silenced = silenced.clone();
+            silenced.mark_unchanged();
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(target).await.unwrap();
+                tokio::select! {
+                    _ = copy_bidirectional(&mut near, &mut far) => {}
+                    _ = silenced.changed() => std::future::pending().await,
+                }
+            });
+        }
+    });
+    (addr, silence)
+}
+
+#[tokio::test]
+async fn change_is_in_force_within_7_s_although_open_connections_go_silent() {
+    let (server, store) = store();
+    let (addr, silence) = proxy(server.addr()).await;
+    let client = StoreClient::open(&format!("http://{addr}")).unwrap();
+    let config = ConfigHandle::spawn(client.clone());
+    config.filled().await;
+    until("a watch", || server.counts().watches > 0).await;
+    // Calls beside the watch leave further connections in the pool.
+    join_all((0..4).map(|_| client.list(kind::CONTRACT))).await;
+    silence.send(1).unwrap();
+    let start = Instant::now();
+    put(&store, kind::CONTRACT, "a", 0, contract(5.0)).await;
+    until("change in force", || rate(&config, "a") == Some(5.0)).await;
+    println!("in force after {:?}", start.elapsed());
+    assert!(start.elapsed() < Duration::from_secs(7));
+}
+
 fn status(incarnation: u64) -> HostStatus {
     let value = json!({"incarnation": incarnation, "data_centre": "zaria",
         "sql": "127.0.0.1:1", "admin": "127.0.0.1:2", "control": "127.0.0.1:3"});
