--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -227,8 +227,15 @@
         assert_eq!(problem.code, code, "{path} {body}: {problem}");
         assert!(problem.message.contains(hint), "{path} {body}: {problem}");
     }
-    // Nothing but the two accepted objects was written.
-    assert_eq!(fleet.newest().await.revision, 2);
+    let host = json!({"incarnation": 1, "data_centre": "dc-3", "sql": "127.0.0.1:1",
+        "admin": "127.0.0.1:2", "control": "127.0.0.1:3"});
+    put(&fleet.store, kind::HOST, "h1", 0, host).await;
+    for path in ["/placements/host/h1", "/placements/data-centre/dc-3"] {
+        let problem = fleet.refuse(path, json!({"state": "out"})).await;
+        assert_eq!(problem.code, ProblemCode::NothingLeft, "{path}: {problem}");
+    }
+    // Nothing but the accepted objects and the host was written.
+    assert_eq!(fleet.newest().await.revision, 3);
 }
 
 #[tokio::test]
@@ -403,13 +410,24 @@
         .await
         .unwrap();
     assert_eq!((version, key.version), (1, 2));
+    // Of racing operators, the losers learn the newer version although no answer arrives.
+    let operators: Vec<_> = (0..4).map(|index| fleet.operator(index)).collect();
+    let body = terms(6.0);
+    let calls = operators
+        .iter()
+        .map(|operator| operator.put::<Accepted>("/contracts/a", Some(2), &body));
+    let results = join_all(calls).await;
+    assert_eq!(results.iter().filter(|result| result.is_ok()).count(), 1);
+    for error in results.into_iter().filter_map(Result::err) {
+        assert_eq!(error.exit_code(), 3, "{error}");
+    }
     let gone = fleet
         .operator(0)
-        .delete::<Accepted>("/contracts/a", Some(2))
+        .delete::<Accepted>("/contracts/a", Some(3))
         .await;
-    assert_eq!(gone.unwrap().version, 3);
+    assert_eq!(gone.unwrap().version, 4);
     fleet.server.set_fault(Fault::None);
-    assert_eq!(fleet.newest().await.revision, 3);
+    assert_eq!(fleet.newest().await.revision, 4);
 }
 
 #[tokio::test]
