Add the decisions of failover: suspicion and election

A failed primary has to be replaced without an operator, and no confirmed entry may be lost. The election fences a majority of the members with a new term, promotes the one with the newest log and points the others at it. It promotes at most one member in a term and drops answers of earlier attempts. A daemon starts one only if more than half of the daemons with an opinion, and at least one other live daemon, reach no primary either.

--- /dev/null
+++ b/crates/core/tests/election/scenarios.rs
@@ -0,0 +1,212 @@
+//! Random interleavings and single cases.
+
+use std::time::Duration;
+
+use magnoliahatch_core::election::Action;
+use magnoliahatch_core::election::Election;
+use magnoliahatch_core::election::Timing;
+use magnoliahatch_core::verb::Answer;
+use magnoliahatch_core::verb::LogEnd;
+use magnoliahatch_core::verb::Verb;
+use proptest::prelude::*;
+
+use crate::world::Step;
+use crate::world::World;
+use crate::world::name;
+
+/// Interleavings of one run of the random test.
+const CASES: u32 = 800;
+
+/// Steps of single messages, and longer ones that reach states with several past elections.
+fn step() -> impl Strategy<Value = Step> {
+    let elect =
+        (0..4usize, 1..8u8, 1..24usize).prop_map(|(candidate, mask, messages)| Step::Elect {
+            candidate,
+            mask,
+            messages,
+        });
+    prop_oneof![
+        12 => (0..64usize).prop_map(Step::Deliver),
+        1 => (0..64usize).prop_map(Step::Lose),
+        2 => (0..4usize, 1..400u64).prop_map(|(at, ms)| Step::Tick(at, ms)),
+        1 => (0..4usize, prop::bool::weighted(0.8)).prop_map(|(at, on)| Step::Need(at, on)),
+        1 => (0..4usize).prop_map(Step::Repair),
+        1 => (0..4usize).prop_map(Step::Hear),
+        1 => (0..4usize).prop_map(Step::RestartCandidate),
+        1 => (0..3usize).prop_map(Step::Crash),
+        2 => (0..3usize).prop_map(Step::Restart),
+        3 => (0..3usize).prop_map(Step::Write),
+        2 => (0..3usize).prop_map(Step::Pull),
+        3 => (0..3usize, 1..4usize).prop_map(|(at, times)| Step::Replicate(at, times)),
+        2 => elect,
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: CASES, ..ProptestConfig::default() })]
+
+    #[test]
+    fn interleavings_keep_one_primary_per_term_and_all_confirmed_entries(
+        candidates in 1..4usize,
+        steps in prop::collection::vec(step(), 0..200),
+    ) {
+        let mut world = World::new(candidates);
+        for step in &steps {
+            world.step(step);
+        }
+        world.settle();
+    }
+}
+
+/// The random test shows nothing if its interleavings never change the primary.
+#[test]
+fn random_steps_do_elect_primaries() {
+    use proptest::strategy::ValueTree;
+    use proptest::test_runner::TestRunner;
+
+    let mut runner = TestRunner::deterministic();
+    let steps = prop::collection::vec(step(), 200);
+    let mut elected = 0;
+    let mut repeated = 0;
+    for _ in 0..50 {
+        let mut world = World::new(2);
+        for step in steps.new_tree(&mut runner).unwrap().current() {
+            world.step(&step);
+        }
+        let changes = world.primary_count() - 1;
+        elected += changes;
+        repeated += usize::from(changes > 1);
+    }
+    assert!(elected >= 50, "{elected} changes of primary in 50 runs");
+    assert!(
+        repeated >= 10,
+        "{repeated} of 50 runs changed the primary twice"
+    );
+}
+
+fn election() -> Election {
+    let mut election = Election::new((0..3).map(name).collect(), Timing::default(), 7);
+    election.on_term(4);
+    election.on_need(true, Duration::ZERO, Duration::ZERO);
+    election
+}
+
+fn grant(term: u64, last_term: u64, received: u64) -> Answer {
+    Answer::Fence {
+        granted: true,
+        term,
+        end: LogEnd {
+            last_term,
+            received,
+        },
+    }
+}
+
+fn promoted(actions: &[Action]) -> Vec<&str> {
+    let promotes = actions.iter().filter_map(|action| match action {
+        Action::Call {
+            member,
+            verb: Verb::Promote,
+            ..
+        } => Some(member.as_str()),
+        _ => None,
+    });
+    promotes.collect()
+}
+
+#[test]
+fn newest_log_wins_by_term_before_length() {
+    let mut election = election();
+    let now = Duration::from_millis(1);
+    assert_eq!(election.on_tick(now).len(), 3);
+    election.on_answer(&name(0), 5, grant(5, 2, 90), now);
+    let actions = election.on_answer(&name(1), 5, grant(5, 3, 10), now);
+    assert!(promoted(&actions).is_empty(), "the third answer is awaited");
+    let actions = election.on_tick(now + Timing::default().settle);
+    assert_eq!(promoted(&actions), ["m1"]);
+}
+
+#[test]
+fn preferred_member_wins_among_equal_logs_only() {
+    for (received, expected) in [(10, "m0"), (11, "m2")] {
+        let mut election = election();
+        election.set_preferred(Some(name(0)));
+        let now = Duration::from_millis(1);
+        election.on_tick(now);
+        election.on_answer(&name(0), 5, grant(5, 3, 10), now);
+        election.on_answer(&name(1), 5, grant(5, 3, 10), now);
+        let actions = election.on_answer(&name(2), 5, grant(5, 3, received), now);
+        assert_eq!(promoted(&actions), [expected]);
+    }
+}
+
+/// A member that was promoted with a lost answer may already serve. A second promotion in the
+/// same term would make two primaries.
+#[test]
+fn lost_promotion_is_repeated_at_the_same_member_or_in_a_newer_term() {
+    let mut election = election();
+    let timing = Timing::default();
+    let mut now = Duration::from_millis(1);
+    election.on_tick(now);
+    for at in 0..3 {
+        election.on_answer(&name(at), 5, grant(5, 3, 10), now);
+    }
+    election.on_answer(&name(2), 5, Answer::Lost, now);
+    now += timing.repeat;
+    let again = election.on_tick(now);
+    assert_eq!(promoted(&again).len(), 1);
+    now += timing.step;
+    assert_eq!(election.on_tick(now), [Action::Abandoned { term: 5 }]);
+    now += timing.back_off * 2;
+    for action in election.on_tick(now) {
+        assert!(matches!(
+            action,
+            Action::Call {
+                term: 6,
+                verb: Verb::Fence,
+                ..
+            }
+        ));
+    }
+}
+
+/// Terms heard from others must not change the term of an attempt that has grants already:
+/// grants of two terms do not make a majority in either.
+#[test]
+fn newer_term_heard_while_fencing_does_not_join_grants_of_two_terms() {
+    let mut election = election();
+    let now = Duration::from_millis(1);
+    election.on_tick(now);
+    election.on_answer(&name(0), 5, grant(5, 3, 10), now);
+    election.on_term(8);
+    for action in election.on_tick(now + Timing::default().repeat) {
+        assert!(matches!(action, Action::Call { term: 5, .. }), "{action:?}");
+    }
+    let actions = election.on_answer(&name(1), 8, grant(8, 3, 10), now);
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// The member may have taken part in a newer term between the two grants.
+#[test]
+fn late_grant_of_an_abandoned_attempt_does_not_count() {
+    let mut election = election();
+    let timing = Timing::default();
+    let mut now = Duration::from_millis(1);
+    election.on_tick(now);
+    now += timing.step;
+    assert_eq!(election.on_tick(now), [Action::Abandoned { term: 5 }]);
+    now += timing.back_off * 2;
+    election.on_tick(now);
+    election.on_answer(&name(0), 6, grant(6, 3, 10), now);
+    election.on_answer(&name(1), 5, grant(5, 3, 10), now);
+    let actions = election.on_tick(now + timing.settle);
+    assert_eq!(promoted(&actions), [""; 0]);
+}
+
+#[test]
+fn attempt_that_is_no_longer_needed_does_not_start() {
+    let mut election = election();
+    election.on_need(false, Duration::ZERO, Duration::ZERO);
+    assert!(!election.is_active());
+    assert!(election.on_tick(Duration::from_secs(1)).is_empty());
+}
--- /dev/null
+++ b/crates/core/tests/election/world.rs
@@ -0,0 +1,350 @@
+//! Members, candidates and a network that delays, reorders and loses messages.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use magnoliahatch_core::election::Action;
+use magnoliahatch_core::election::Election;
+use magnoliahatch_core::election::Timing;
+use magnoliahatch_core::ids::MemberId;
+use magnoliahatch_core::ids::Term;
+use magnoliahatch_core::verb::Answer;
+use magnoliahatch_core::verb::Role;
+use magnoliahatch_core::verb::Verb;
+
+use crate::model::Entry;
+use crate::model::Member;
+use crate::model::Pull;
+use crate::model::Pulled;
+
+/// One thing that happens; numbers are reduced to the range of what exists.
+#[derive(Debug, Clone)]
+pub(crate) enum Step {
+    Deliver(usize),
+    Lose(usize),
+    /// Time passes for one candidate only: the others are paused.
+    Tick(usize, u64),
+    Need(usize, bool),
+    Repair(usize),
+    RestartCandidate(usize),
+    Crash(usize),
+    Restart(usize),
+    Write(usize),
+    Pull(usize),
+    /// A candidate hears of the newest term.
+    Hear(usize),
+    /// A candidate reaches only the members of the mask, for a number of messages.
+    Elect {
+        candidate: usize,
+        mask: u8,
+        messages: usize,
+    },
+    /// A replica pulls a few times without disturbance.
+    Replicate(usize, usize),
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Call(Call),
+    Answer(Call, Answer),
+    Pull(usize, Pull),
+    Pulled(Pull, Pulled),
+}
+
+#[derive(Debug, Clone)]
+struct Call {
+    /// Candidate and its incarnation.
+    from: (usize, u64),
+    member: usize,
+    term: Term,
+    verb: Verb,
+}
+
+pub(crate) struct Candidate {
+    pub(crate) election: Election,
+    incarnation: u64,
+    pub(crate) now: Duration,
+}
+
+pub(crate) struct World {
+    pub(crate) members: Vec<Member>,
+    pub(crate) candidates: Vec<Candidate>,
+    network: Vec<Message>,
+    next_entry: u64,
+    primaries: BTreeMap<Term, usize>,
+    /// Entries that a primary has reported as confirmed, by index.
+    pub(crate) confirmed: Vec<Entry>,
+    /// How many of them each term's primary has confirmed.
+    pub(crate) lengths: BTreeMap<Term, usize>,
+    /// Entries appended by a primary after a majority had granted a higher term.
+    pub(crate) late: Vec<Entry>,
+}
+
+pub(crate) fn name(member: usize) -> MemberId {
+    format!("m{member}")
+}
+
+fn number(member: &MemberId) -> usize {
+    member[1..].parse().expect("a member's name")
+}
+
+impl World {
+    pub(crate) fn new(candidates: usize) -> Self {
+        let members = (0..3).map(|at| match at {
+            0 => Member::new(Role::Primary, None),
+            _ => Member::new(Role::Replica, Some(0)),
+        });
+        let mut world = Self {
+            members: members.collect(),
+            candidates: Vec::new(),
+            network: Vec::new(),
+            next_entry: 1,
+            primaries: BTreeMap::from([(1, 0)]),
+            confirmed: Vec::new(),
+            lengths: BTreeMap::new(),
+            late: Vec::new(),
+        };
+        for at in 0..candidates {
+            world.candidates.push(candidate(at, 0));
+        }
+        world
+    }
+
+    pub(crate) fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Deliver(at) if !self.network.is_empty() => {
+                let message = self.network.remove(at % self.network.len());
+                self.deliver(message);
+            }
+            Step::Lose(at) if !self.network.is_empty() => {
+                let message = self.network.remove(at % self.network.len());
+                if let Message::Call(call) | Message::Answer(call, _) = message {
+                    self.answer(&call, Answer::Lost);
+                }
+            }
+            Step::Tick(at, ms) => self.tick(at % self.candidates.len(), ms),
+            Step::Need(at, needed) => {
+                let candidate = self.candidate(at);
+                let now = candidate.now;
+                candidate.election.on_need(needed, Duration::ZERO, now);
+            }
+            Step::Repair(at) => self.repair(at % self.candidates.len()),
+            Step::RestartCandidate(at) => {
+                let at = at % self.candidates.len();
+                let incarnation = self.candidates[at].incarnation + 1;
+                self.candidates[at] = candidate(at, incarnation);
+            }
+            Step::Crash(at) => self.member(at).up = false,
+            Step::Restart(at) => self.member(at).restart(),
+            Step::Write(at) => self.write(at % self.members.len()),
+            Step::Pull(at) => self.pull(at % self.members.len()),
+            Step::Hear(at) => {
+                let newest = self.members.iter().map(|m| m.term).max().unwrap_or(0);
+                self.candidate(at).election.on_term(newest);
+            }
+            Step::Elect {
+                candidate,
+                mask,
+                messages,
+            } => self.elect(candidate % self.candidates.len(), mask, messages),
+            Step::Replicate(at, times) => {
+                for _ in 0..times {
+                    self.replicate(at % self.members.len());
+                }
+            }
+            Step::Deliver(_) | Step::Lose(_) => {}
+        }
+        self.check();
+    }
+
+    fn member(&mut self, at: usize) -> &mut Member {
+        let count = self.members.len();
+        &mut self.members[at % count]
+    }
+
+    fn candidate(&mut self, at: usize) -> &mut Candidate {
+        let count = self.candidates.len();
+        &mut self.candidates[at % count]
+    }
+
+    pub(crate) fn tick(&mut self, at: usize, ms: u64) {
+        let candidate = &mut self.candidates[at];
+        candidate.now += Duration::from_millis(ms);
+        let actions = candidate.election.on_tick(candidate.now);
+        self.send(at, actions);
+    }
+
+    pub(crate) fn repair(&mut self, at: usize) {
+        let up = self.members.iter().enumerate().filter(|(_, m)| m.up);
+        let statuses = up.map(|(at, member)| (name(at), member.status())).collect();
+        let actions = self.candidates[at].election.repair(&statuses);
+        self.send(at, actions);
+    }
+
+    fn send(&mut self, at: usize, actions: Vec<Action>) {
+        let from = (at, self.candidates[at].incarnation);
+        for action in actions {
+            if let Action::Call { member, term, verb } = action {
+                self.network.push(Message::Call(Call {
+                    from,
+                    member: number(&member),
+                    term,
+                    verb,
+                }));
+            }
+        }
+    }
+
+    pub(crate) fn write(&mut self, at: usize) {
+        let entry = (self.members[at].term, self.next_entry);
+        if !self.members[at].up || self.members[at].role != Role::Primary {
+            return;
+        }
+        self.next_entry += 1;
+        self.members[at].log.push(entry);
+        let newer = self.members.iter().filter(|m| m.term > entry.0).count();
+        if newer > self.members.len() / 2 {
+            self.late.push(entry);
+        }
+    }
+
+    pub(crate) fn pull(&mut self, at: usize) {
+        let member = &self.members[at];
+        let (true, Role::Replica, Some(upstream)) = (member.up, member.role, member.upstream)
+        else {
+            return;
+        };
+        let pull = Pull {
+            from: at,
+            term: member.term,
+            end: member.end(),
+        };
+        self.network.push(Message::Pull(upstream, pull));
+    }
+
+    fn elect(&mut self, at: usize, mask: u8, messages: usize) {
+        // Ends what is left of the candidate's last election.
+        self.tick(at, 3500);
+        let candidate = &mut self.candidates[at];
+        let now = candidate.now;
+        candidate.election.on_need(true, Duration::ZERO, now);
+        for _ in 0..messages {
+            self.tick(at, 10);
+            let from = (at, self.candidates[at].incarnation);
+            let reached = |message: &Message| match message {
+                Message::Call(call) | Message::Answer(call, _) => {
+                    call.from == from && mask & (1 << call.member) != 0
+                }
+                _ => false,
+            };
+            if let Some(at) = self.network.iter().position(reached) {
+                let message = self.network.remove(at);
+                self.deliver(message);
+                self.check();
+            }
+        }
+    }
+
+    fn replicate(&mut self, at: usize) {
+        let waiting = self.network.len();
+        self.pull(at);
+        while self.network.len() > waiting {
+            let message = self.network.remove(waiting);
+            self.deliver(message);
+        }
+        self.check();
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Call(call) => {
+                let answer = self.execute(&call);
+                if let Some(answer) = answer {
+                    self.network.push(Message::Answer(call, answer));
+                }
+            }
+            Message::Answer(call, answer) => self.answer(&call, answer),
+            Message::Pull(at, pull) => {
+                if self.members[at].up
+                    && let Some(pulled) = self.members[at].serve(&pull)
+                {
+                    self.network.push(Message::Pulled(pull, pulled));
+                }
+            }
+            Message::Pulled(pull, pulled) => {
+                if self.members[pull.from].up {
+                    self.members[pull.from].receive(&pull, pulled);
+                }
+            }
+        }
+    }
+
+    fn execute(&mut self, call: &Call) -> Option<Answer> {
+        let candidate = format!("c{}/{}", call.from.0, call.from.1);
+        let entry = self.next_entry;
+        self.next_entry += 1;
+        let member = &mut self.members[call.member];
+        if !member.up {
+            return None;
+        }
+        let before = member.role;
+        let answer = match &call.verb {
+            Verb::Fence => member.fence(call.term, &candidate),
+            Verb::Promote => member.promote(call.term, &candidate, entry),
+            Verb::Follow(primary) => member.follow(call.term, &candidate, number(primary)),
+        };
+        if before != Role::Primary && member.role == Role::Primary {
+            self.elected(call.member);
+        }
+        Some(answer)
+    }
+
+    fn elected(&mut self, at: usize) {
+        let member = &self.members[at];
+        let other = self.primaries.insert(member.term, at);
+        assert_eq!(other, None, "two primaries in term {}", member.term);
+        // A late promotion in a term that a majority has left is harmless: nobody follows it.
+        let older = self.lengths.range(..member.term).map(|(_, length)| *length);
+        let confirmed = &self.confirmed[..older.max().unwrap_or(0)];
+        assert!(
+            member.log.starts_with(confirmed),
+            "m{at} became primary of term {} without the entries confirmed in older terms",
+            member.term
+        );
+    }
+
+    fn answer(&mut self, call: &Call, answer: Answer) {
+        let (at, incarnation) = call.from;
+        let candidate = &mut self.candidates[at];
+        if candidate.incarnation != incarnation {
+            return;
+        }
+        let (member, now) = (name(call.member), candidate.now);
+        let actions = candidate
+            .election
+            .on_answer(&member, call.term, answer, now);
+        self.send(at, actions);
+    }
+
+    pub(crate) fn drain(&mut self) {
+        while !self.network.is_empty() {
+            self.step(&Step::Deliver(0));
+        }
+    }
+
+    pub(crate) fn primary_count(&self) -> usize {
+        self.primaries.len()
+    }
+}
+
+fn candidate(at: usize, incarnation: u64) -> Candidate {
+    let members = (0..3).map(name).collect();
+    let seed = at as u64 * 1000 + incarnation;
+    let mut election = Election::new(members, Timing::default(), seed);
+    election.on_term(1);
+    Candidate {
+        election,
+        incarnation,
+        now: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/suspicion.rs
@@ -0,0 +1,176 @@
+//! Guards against deposing a primary that works, and against never deposing one that does not.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use magnoliahatch_core::group_view::GroupView;
+use magnoliahatch_core::member_view::MemberView;
+use magnoliahatch_core::suspicion::Opinion;
+use magnoliahatch_core::suspicion::Patience;
+use magnoliahatch_core::suspicion::PeerOpinion;
+use magnoliahatch_core::suspicion::Peers;
+use magnoliahatch_core::suspicion::Suspicion;
+use proptest::prelude::*;
+
+const TERM: u64 = 3;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn view(reachable: bool, heard: Duration) -> GroupView {
+    let member = |reachable| MemberView {
+        reachable,
+        term: TERM,
+        applied: 0,
+        heard,
+    };
+    GroupView {
+        term: TERM,
+        primary: Some("m1".to_owned()),
+        members: BTreeMap::from([
+            ("m1".to_owned(), member(reachable)),
+            ("m2".to_owned(), member(true)),
+        ]),
+    }
+}
+
+fn peers(opinions: &[(u64, bool)], live: usize) -> Peers {
+    let opinions = opinions.iter().enumerate().map(|(at, (term, reachable))| {
+        let opinion = Opinion {
+            term: *term,
+            reachable: *reachable,
+        };
+        let expires = ms(100_000);
+        (format!("h{at}"), PeerOpinion { opinion, expires })
+    });
+    Peers {
+        vouched: true,
+        live,
+        opinions: opinions.collect(),
+    }
+}
+
+/// A daemon that has not reached the primary for long enough.
+fn lost() -> Suspicion {
+    let mut suspicion = Suspicion::new(Patience::default());
+    suspicion.on_view(&view(true, ms(0)), ms(0));
+    suspicion.on_view(&view(false, ms(0)), ms(1000));
+    suspicion.on_view(&view(false, ms(0)), ms(1300));
+    suspicion
+}
+
+#[test]
+fn short_interruption_is_no_suspicion() {
+    let mut suspicion = Suspicion::new(Patience::default());
+    let alone = peers(&[], 0);
+    suspicion.on_view(&view(true, ms(0)), ms(0));
+    suspicion.on_view(&view(false, ms(0)), ms(200));
+    suspicion.on_view(&view(false, ms(0)), ms(499));
+    assert!(!suspicion.needs_primary(&alone, ms(499)));
+    suspicion.on_view(&view(true, ms(510)), ms(510));
+    suspicion.on_view(&view(false, ms(510)), ms(520));
+    assert!(!suspicion.needs_primary(&alone, ms(520)));
+}
+
+#[test]
+fn dead_primary_is_noticed_within_a_second_and_a_half() {
+    let alone = peers(&[], 0);
+    // Connections are refused.
+    assert!(lost().needs_primary(&alone, ms(1300)));
+    // Probes hang and the view still says reachable.
+    let mut suspicion = Suspicion::new(Patience::default());
+    suspicion.on_view(&view(true, ms(1000)), ms(1000));
+    suspicion.on_view(&view(true, ms(1000)), ms(2001));
+    assert!(suspicion.needs_primary(&alone, ms(2001)));
+}
+
+#[test]
+fn daemon_without_a_vouch_deposes_nobody() {
+    let peers = Peers {
+        vouched: false,
+        ..peers(&[(TERM, false), (TERM, false)], 2)
+    };
+    assert!(!lost().needs_primary(&peers, ms(1300)));
+}
+
+#[test]
+fn daemon_that_alone_cannot_reach_the_primary_does_nothing() {
+    for (opinions, live, expected) in [
+        (&[(TERM, true), (TERM, true)][..], 2, false),
+        (&[(TERM, true), (TERM, false)], 2, true),
+        (&[(TERM, true)], 1, false),
+        // Live peers that do not probe the group cannot confirm the fault.
+        (&[], 2, false),
+        (&[(TERM, false)], 2, true),
+        (&[], 0, true),
+        // A peer knows a newer primary.
+        (&[(TERM + 1, true), (TERM, false)], 2, false),
+        // Peers that still reach the primary of a term that has ended say nothing.
+        (&[(TERM - 1, true), (TERM, false)], 2, true),
+    ] {
+        let peers = peers(opinions, live);
+        let needs = lost().needs_primary(&peers, ms(1300));
+        assert_eq!(needs, expected, "{opinions:?}, {live} live");
+    }
+}
+
+#[test]
+fn expired_opinions_do_not_count() {
+    let peers = peers(&[(TERM, false)], 2);
+    assert!(!lost().needs_primary(&peers, ms(100_000)));
+}
+
+/// Two daemons with the same turn would stop each other's elections.
+#[test]
+fn daemons_that_suspect_the_primary_have_different_turns() {
+    let hosts = ["h0", "h1", "h2"].map(str::to_owned);
+    let all = peers(&[(TERM, false), (TERM, false), (TERM, false)], 3);
+    let mut turns = hosts.clone().map(|host| {
+        let mut peers = all.clone();
+        peers.opinions.remove(&host);
+        lost().turn(&host, &"hire-ledger".to_owned(), &peers, ms(1300))
+    });
+    turns.sort_unstable();
+    assert_eq!(turns, [0, 1, 2]);
+}
+
+#[test]
+fn new_term_restarts_the_grace() {
+    let mut suspicion = lost();
+    let newer = GroupView {
+        term: TERM + 1,
+        primary: None,
+        ..view(false, ms(0))
+    };
+    suspicion.on_view(&newer, ms(1400));
+    assert!(!suspicion.needs_primary(&peers(&[], 0), ms(1400)));
+    suspicion.on_view(&newer, ms(1700));
+    assert!(suspicion.needs_primary(&peers(&[], 0), ms(1700)));
+}
+
+#[test]
+fn group_without_a_primary_needs_one() {
+    let mut suspicion = Suspicion::new(Patience::default());
+    let none = GroupView {
+        primary: None,
+        ..view(true, ms(0))
+    };
+    suspicion.on_view(&none, ms(0));
+    suspicion.on_view(&none, ms(300));
+    assert!(suspicion.needs_primary(&peers(&[], 0), ms(300)));
+    suspicion.on_view(&GroupView::default(), ms(900));
+    assert_eq!(suspicion.opinion(), None);
+}
+
+proptest! {
+    #[test]
+    fn suspicion_takes_more_than_half_of_the_opinions(
+        votes in prop::collection::vec(any::<bool>(), 1..9),
+    ) {
+        let opinions: Vec<(u64, bool)> = votes.iter().map(|up| (TERM, *up)).collect();
+        let against = 1 + votes.iter().filter(|up| !**up).count();
+        let needs = lost().needs_primary(&peers(&opinions, votes.len()), ms(1300));
+        prop_assert_eq!(needs, against >= 2 && against * 2 > votes.len() + 1);
+    }
+}
