Drive elections over the platform verbs

The state machines need a task that joins them to the group's view, the peers' opinions and the members. The task takes these as channels and the verb call as a closure, so that the monitor and the mesh can be joined to it. It also points members at the primary that have missed its election, and performs planned changes of primary.

--- a/crates/bench/tests/member/group.rs
+++ b/crates/bench/tests/member/group.rs
@@ -178,6 +178,21 @@
     assert_eq!(status(&one).await[CONFIRMED], "0");
 }
 
+/// An entry of an older term can still be replaced, even though two members hold it.
+#[tokio::test]
+async fn only_entries_of_the_own_term_confirm() {
+    let first = primary().await;
+    let data = connect(first.sql, "proxy").await;
+    data.batch_execute("CREATE TABLE t (a INT)").await.unwrap();
+    let one = connect(first.sql, "platform").await;
+    verb(&one, "fence(2, 'a')").await;
+    assert_eq!(verb(&one, "promote(2, 'a')").await, ["true", "2"]);
+    verb(&one, "pull('m2', 2, 1, 2, 10)").await;
+    assert_eq!(status(&one).await[CONFIRMED], "0");
+    verb(&one, "pull('m2', 2, 2, 3, 10)").await;
+    assert_eq!(status(&one).await[CONFIRMED], "3");
+}
+
 #[tokio::test]
 async fn restarted_member_keeps_log_and_grants() {
     let dir = tempfile::tempdir().unwrap();
--- /dev/null
+++ b/crates/daemon/tests/election/main.rs
@@ -0,0 +1,169 @@
+//! Guards against a failed primary that is not replaced, and against replacing one that works.
+//! The members are stand-ins; a small monitor stands for the daemon's.
+
+mod group;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_core::suspicion::Opinion;
+use magnoliahatch_core::suspicion::Peers;
+use magnoliahatch_daemon::election::Command;
+
+use crate::group::Daemon;
+use crate::group::Group;
+use crate::group::eventually;
+
+/// The brief's limit for a change of primary.
+const CHANGE: Duration = Duration::from_secs(6);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_primary_is_replaced_and_no_confirmed_row_is_lost() {
+    let mut group = Group::start().await;
+    let daemons = [
+        Daemon::start(&group, "h1", 0),
+        Daemon::start(&group, "h2", 0),
+        Daemon::start(&group, "h3", 0),
+    ];
+    Daemon::connect_all(&daemons);
+    for value in 0..20 {
+        group.confirmed_insert("m1", value).await;
+    }
+    let before = Instant::now();
+    group.stop("m1");
+    let primary = group.new_primary(2).await;
+    let promoted = before.elapsed();
+    group.confirmed_insert(&primary, 20).await;
+    let whole = before.elapsed();
+    println!("promoted after {promoted:?}, first confirmed write after {whole:?}");
+    assert!(whole < CHANGE, "{whole:?}");
+    let all: Vec<i32> = (0..21).collect();
+    assert_eq!(group.values(&primary).await, Some(all.clone()));
+    // The old primary returns with its log and follows.
+    group.restart("m1").await;
+    eventually("m1 follows", async || {
+        group.values("m1").await.as_ref() == Some(&all)
+    })
+    .await;
+    let status = group.status("m1").await.expect("m1 answers");
+    assert_eq!(status[1], "replica");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_primary_is_replaced_and_cannot_confirm_when_it_thaws() {
+    let group = Group::start().await;
+    let daemons = [
+        Daemon::start(&group, "h1", 0),
+        Daemon::start(&group, "h2", 0),
+    ];
+    Daemon::connect_all(&daemons);
+    group.confirmed_insert("m1", 1).await;
+    let before = Instant::now();
+    group.member("m1").set_frozen(true);
+    let primary = group.new_primary(2).await;
+    let whole = before.elapsed();
+    println!("frozen primary replaced after {whole:?}");
+    assert!(whole < CHANGE, "{whole:?}");
+    group.member("m1").set_frozen(false);
+    // It may accept writes until it is told of the new term, but it confirms none of them.
+    let late = group.insert("m1", 2).await;
+    println!("late write at the old primary: {late:?}");
+    group.confirmed_insert(&primary, 3).await;
+    eventually("m1 follows", async || {
+        group.values("m1").await == Some(vec![1, 3])
+    })
+    .await;
+    assert_eq!(group.values(&primary).await, Some(vec![1, 3]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_alone_cannot_reach_the_primary_does_not_depose_it() {
+    let group = Group::start().await;
+    let daemon = Daemon::start(&group, "h1", 0);
+    let sighted = Opinion {
+        term: 1,
+        reachable: true,
+    };
+    daemon.set_peers(&[("h2", sighted), ("h3", sighted)]);
+    daemon.hide("m1");
+    eventually("the daemon notices", async || {
+        daemon.opinion().is_some_and(|own| !own.reachable)
+    })
+    .await;
+    // Long enough for an election, had it started one.
+    let watched = tokio::time::timeout(Duration::from_secs(2), daemon.elected()).await;
+    assert!(watched.is_err(), "it promoted {watched:?}");
+    let status = group.status("m1").await.expect("m1 answers");
+    assert_eq!(status[1..3], ["primary", "1"]);
+    // Once a second daemon agrees, it acts.
+    let blind = Opinion {
+        reachable: false,
+        ..sighted
+    };
+    daemon.set_peers(&[("h2", blind), ("h3", sighted)]);
+    daemon.elected().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn group_whose_candidate_died_after_fencing_gets_a_primary() {
+    let group = Group::start().await;
+    group.confirmed_insert("m1", 1).await;
+    for member in ["m1", "m2"] {
+        let row = group.verb(member, "fence(7, 'dead')").await;
+        assert_eq!(row.expect("fenced")[0], "true");
+    }
+    let daemon = Daemon::start(&group, "h1", 0);
+    daemon.elected().await;
+    let primary = group.new_primary(8).await;
+    group.confirmed_insert(&primary, 2).await;
+    assert_eq!(group.values(&primary).await, Some(vec![1, 2]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn group_whose_candidate_died_after_promoting_is_joined_again() {
+    let group = Group::start().await;
+    group.confirmed_insert("m1", 1).await;
+    for member in ["m1", "m2", "m3"] {
+        group
+            .verb(member, "fence(7, 'dead')")
+            .await
+            .expect("fenced");
+    }
+    let row = group.verb("m1", "promote(7, 'dead')").await;
+    assert_eq!(row.expect("promoted")[0], "true");
+    let _daemon = Daemon::start(&group, "h1", 0);
+    group.confirmed_insert("m1", 2).await;
+    let status = group.status("m1").await.expect("m1 answers");
+    assert_eq!(status[1..3], ["primary", "7"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn switchover_prefers_the_named_member() {
+    let group = Group::start().await;
+    let daemon = Daemon::start(&group, "h1", 0);
+    group.confirmed_insert("m1", 1).await;
+    eventually("all have received the row", async || {
+        let one = Some(vec![1]);
+        group.values("m3").await == one && group.values("m2").await == one
+    })
+    .await;
+    let preferred = Some("m3".to_owned());
+    daemon.command(Command::Switchover { preferred }).await;
+    let elected = daemon.elected().await;
+    assert_eq!(elected.member, "m3");
+    group.confirmed_insert("m3", 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unvouched_daemon_deposes_nobody() {
+    let mut group = Group::start().await;
+    let daemon = Daemon::start(&group, "h1", 0);
+    daemon.set_raw_peers(Peers::default());
+    group.stop("m1");
+    eventually("the daemon notices", async || {
+        daemon.opinion().is_some_and(|own| !own.reachable)
+    })
+    .await;
+    let watched = tokio::time::timeout(Duration::from_secs(1), daemon.elected()).await;
+    assert!(watched.is_err(), "it promoted {watched:?}");
+}
