Add the limits of the daemon with the interface to the data path

The data path needs admit, connection and allowance before the mesh exists. The limits talk to peers through a pair of channels, so one host runs without a mesh.

--- a/crates/client/src/config_view.rs
+++ b/crates/client/src/config_view.rs
@@ -79,6 +79,12 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Version of one object; 0 if none was applied.
+    pub fn version(&self, kind: &str, name: &str) -> Revision {
+        let key = (kind.to_owned(), name.to_owned());
+        self.versions.get(&key).copied().unwrap_or(0)
+    }
+
     /// Whether new work may go to this subject, for instance `endpoint/hire-1`.
     pub fn in_service(&self, subject: &str) -> bool {
         self.placements.get(subject) != Some(&Placement::Out)
--- a/crates/client/src/objects/mod.rs
+++ b/crates/client/src/objects/mod.rs
@@ -16,6 +16,7 @@
 pub mod primary_hint;
 pub mod route;
 pub mod seat_record;
+pub mod seat_state;
 pub mod seat_table;
 pub mod stored_object;
 pub mod token_secret;
--- a/crates/client/src/objects/seat_record.rs
+++ b/crates/client/src/objects/seat_record.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::objects::seat_state::SeatState;
+
 /// One seat of the seat table.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -14,4 +16,5 @@
     pub seat: SeatNumber,
     pub host: HostId,
     pub incarnation: Incarnation,
+    pub state: SeatState,
 }
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -3,40 +3,37 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+
 use crate::amount::Amount;
 use crate::claim::Claim;
 use crate::claim::Claimant;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::LoanId;
+use crate::ids::Revision;
 use crate::limit::LimitId;
 use crate::loan::LoanGrant;
 use crate::loan::LoanRequest;
 use crate::message::Message;
 use crate::rendezvous;
+use crate::renewal::borrow_due;
 use crate::seat::SeatState;
 use crate::seat::VOUCH;
 use crate::seat_table::SeatTable;
 use crate::share::Share;
-use crate::share::Unit;
 
 /// Time between two heartbeats to the same peer.
 pub const HEARTBEAT: Duration = Duration::from_secs(1);
-/// Time between two requests for the same loan. Half of the shortest loan, so that one lost
-/// message does not end it.
-const RENEW: Duration = Duration::from_millis(400);
-/// Time between two requests while statements wait.
-const URGENT: Duration = Duration::from_millis(40);
 /// Time between two requests for unused floors. Three fit into a loan, since a loan that has less
 /// than half its time left cannot be lent on.
 const POOL: Duration = Duration::from_millis(500);
 /// How long the pooling host goes on asking for unused floors after the last borrower asked.
 const POOL_IDLE: Duration = Duration::from_secs(2);
-/// A loan request is repeated early when the want has changed by this factor.
-const CHANGED: f64 = 1.3;
 
 /// How limits are divided; all but `Loans` are baselines for comparison.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Division {
     /// Floors, with loans of what is unused.
     #[default]
@@ -203,6 +200,10 @@
             Message::Heartbeat(heartbeat) => {
                 self.seat.on_heartbeat(from, incarnation, heartbeat, now);
                 self.refresh(now);
+                return self.newer_table(from, heartbeat.table);
+            }
+            Message::Seats(table) => {
+                self.on_table(table, now);
                 return Vec::new();
             }
             Message::LoanOffer(grants) | Message::LoanGrant(grants) => {
@@ -244,6 +245,16 @@
         }]
     }
 
+    fn newer_table(&self, to: &HostId, known: Revision) -> Vec<Outgoing> {
+        match self.seat.table() {
+            Some(table) if table.version > known => vec![Outgoing {
+                to: to.clone(),
+                message: Message::Seats(table.clone()),
+            }],
+            _ => Vec::new(),
+        }
+    }
+
     fn answer(
         &mut self,
         requests: &[(LimitId, LoanRequest)],
@@ -363,26 +374,3 @@
         }
     }
 }
-
-/// Whether to ask the pooling host now: soon while statements wait or the want has changed,
-/// otherwise in time to renew what is held.
-fn borrow_due(share: &Share, owner: &HostId, want: f64, unit: Unit, now: Duration) -> bool {
-    let held = share.loan(owner, now);
-    let Some((at, last)) = share.last_request(owner) else {
-        return want > 0.0;
-    };
-    if want <= 0.0 && held.is_zero() && last.rate <= 0.0 {
-        return false;
-    }
-    let changed = match unit {
-        Unit::Rate => want > last.rate * CHANGED || want * CHANGED < last.rate,
-        Unit::Whole => (want - last.rate).abs() >= 1.0,
-    };
-    let short = want > held.rate;
-    let pause = if changed || (short && share.demand.waiting() > 0) {
-        URGENT
-    } else {
-        RENEW
-    };
-    now >= at + pause
-}
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -8,6 +8,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::Deserialize;
+
 use crate::ids::OrganisationId;
 
 /// Weight of a new measurement in the average holding time.
@@ -19,7 +21,8 @@
 pub type Ticket = u64;
 
 /// How the next request is chosen.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Order {
     /// Least virtual time first.
     #[default]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod position;
 pub mod rendezvous;
+mod renewal;
 pub mod retry_budget;
 pub mod seat;
 pub mod seat_peer;
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -151,11 +151,9 @@
             node.set_limits(&limits(self.contracts[host.contract]), local);
         }
         let mut out = Vec::new();
-        let mut tables = Vec::new();
         while let Some(packet) = host.inbox.pop_front() {
             let from = names[packet.from].clone();
             out.extend(node.on_message(&from, packet.incarnation, &packet.message, local));
-            tables.push(packet.from);
         }
         out.extend(node.tick(local));
         let incarnation = host.incarnation;
@@ -169,16 +167,6 @@
             };
             self.net.send(packet, now, &mut self.rng);
         }
-        // A host that hears from a peer gets its seat table, as by a configuration pull.
-        for peer in tables {
-            let table = self.hosts[peer]
-                .node
-                .as_ref()
-                .and_then(|n| n.seat().table().cloned());
-            if let (Some(table), Some(node)) = (table, &mut self.hosts[index].node) {
-                node.on_table(&table, local);
-            }
-        }
         self.use_store(index);
     }
 
--- /dev/null
+++ b/crates/daemon/src/limits/handle.rs
@@ -0,0 +1,274 @@
+//! Handle that the data path uses.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::store::StoreClient;
+use magnoliahatch_core::coordinator::Coordinator;
+use magnoliahatch_core::fair_queue::Entered;
+use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::Incarnation;
+use magnoliahatch_core::limit::LimitId;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::limits::connection_permit::ConnectionPermit;
+use crate::limits::driver;
+use crate::limits::limit_error::LimitError;
+use crate::limits::link::Link;
+use crate::limits::member_queue::MemberQueue;
+use crate::limits::rate_queue::WAIT_MAX;
+use crate::limits::seat_keeper;
+use crate::limits::settings::LimitSettings;
+use crate::limits::shared::Shared;
+use crate::limits::shared::State;
+
+/// Longest wait for a connection in the fair queue.
+const QUEUE_MAX: Duration = Duration::from_secs(5);
+/// What a caller is told to wait before it repeats a statement that was refused by rate.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Enforces the contracts on this host together with the other hosts. Clones share one state;
+/// the tasks end when the link to the mesh or the configuration channel closes.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    shared: Arc<Shared>,
+}
+
+impl Limits {
+    /// Starts the tasks that exchange loans and hold the seat.
+    pub fn spawn(
+        host: HostId,
+        incarnation: Incarnation,
+        settings: LimitSettings,
+        link: Link,
+        store: StoreClient,
+        config: watch::Receiver<Arc<ConfigView>>,
+    ) -> Self {
+        let coordinator = Coordinator::new(host, incarnation, settings.division, Duration::ZERO);
+        let shared = Shared::new(coordinator, Instant::now(), settings.order);
+        shared.configure(&config.borrow());
+        tokio::spawn(driver::run(shared.clone(), link, config.clone()));
+        tokio::spawn(seat_keeper::run(shared.clone(), store, config));
+        Self { shared }
+    }
+
+    /// Admits one statement, or refuses it before anything is sent. May wait a short time for a
+    /// token or a loan.
+    pub async fn admit(&self, organisation: &str, deadline: Instant) -> Result<(), LimitError> {
+        let limit = LimitId::Rate(organisation.to_owned());
+        let (mut receiver, wait) = {
+            let mut state = self.shared.lock();
+            let now = self.shared.now();
+            if state.stopping {
+                return Err(LimitError::Stopping);
+            }
+            let Some(total) = state.coordinator.total(&limit) else {
+                return Err(LimitError::NoContract(organisation.to_owned()));
+            };
+            if !state.coordinator.in_touch(now) {
+                return Err(LimitError::OutOfTouch);
+            }
+            if let Some(share) = state.coordinator.share(&limit, now) {
+                share.demand.on_arrival(now);
+            }
+            if !state.rates.contains_key(organisation) && state.coordinator.take(&limit, now) {
+                return Ok(());
+            }
+            let wait = self
+                .shared
+                .since(deadline)
+                .saturating_sub(now)
+                .min(WAIT_MAX);
+            let queue = state.rates.entry(organisation.to_owned()).or_default();
+            // With the whole contract on this host the statement would still come too late.
+            if queue.len() as f64 >= total.rate * wait.as_secs_f64() {
+                return Err(self.rate_error(organisation));
+            }
+            (queue.push(), wait)
+        };
+        self.shared.wake.notify_one();
+        if timeout(wait, &mut receiver).await.is_ok_and(|r| r.is_ok()) {
+            return Ok(());
+        }
+        receiver.close();
+        // The token may have come together with the end of the wait.
+        if receiver.try_recv().is_ok() {
+            return Ok(());
+        }
+        Err(self.rate_error(organisation))
+    }
+
+    /// Waits in the fair queue for the right to use a connection to a member.
+    pub async fn connection(
+        &self,
+        database: &str,
+        member: &str,
+        organisation: &str,
+        deadline: Instant,
+    ) -> Result<ConnectionPermit, LimitError> {
+        let limit = LimitId::Connections(database.to_owned(), member.to_owned());
+        let (ticket, receiver, wait) = {
+            let mut state = self.shared.lock();
+            let state = &mut *state;
+            let now = self.shared.now();
+            if state.stopping {
+                return Err(LimitError::Stopping);
+            }
+            let Some(total) = state.coordinator.total(&limit) else {
+                return Err(LimitError::NoMember(database.to_owned(), member.to_owned()));
+            };
+            if !state.coordinator.in_touch(now) {
+                return Err(LimitError::OutOfTouch);
+            }
+            self.shared.serve_member(state, &limit, now);
+            let weight = state.weights.get(organisation).copied().unwrap_or(1);
+            let Some(queue) = state.members.get_mut(&limit) else {
+                return Err(LimitError::NoMember(database.to_owned(), member.to_owned()));
+            };
+            let wait = self
+                .shared
+                .since(deadline)
+                .saturating_sub(now)
+                .min(QUEUE_MAX);
+            let expected = total.rate as usize;
+            match queue
+                .queue
+                .enter(organisation, weight, expected, now, now + wait)
+            {
+                Entered::Granted(ticket) => {
+                    queue.held.insert(ticket, CancellationToken::new());
+                    return Ok(self.permit(state, limit, ticket));
+                }
+                Entered::Refused(wait) => return Err(queue_error(database, member, wait)),
+                Entered::Waiting(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    queue.waiting.insert(ticket, sender);
+                    (ticket, receiver, wait)
+                }
+            }
+        };
+        self.shared.wake.notify_one();
+        let waiting = Waiting {
+            limits: self,
+            limit: &limit,
+            ticket,
+        };
+        let granted = timeout(wait, receiver).await.is_ok_and(|r| r.is_ok());
+        let held = self.shared.lock();
+        let is_held = held
+            .members
+            .get(&limit)
+            .is_some_and(|m| m.held.contains_key(&ticket));
+        if granted || is_held {
+            std::mem::forget(waiting);
+            return Ok(self.permit(&held, limit, ticket));
+        }
+        drop(held);
+        drop(waiting);
+        Err(queue_error(database, member, wait))
+    }
+
+    /// Connections to a member that may be open on this host, busy or idle. It falls a moment
+    /// before the share behind it ends.
+    pub fn allowance(&self, database: &str, member: &str) -> watch::Receiver<u32> {
+        let limit = LimitId::Connections(database.to_owned(), member.to_owned());
+        let mut state = self.shared.lock();
+        if let Some(member) = state.members.get(&limit) {
+            return member.allowance.subscribe();
+        }
+        let order = self.shared.order();
+        let queue = state
+            .members
+            .entry(limit)
+            .or_insert_with(|| MemberQueue::new(order));
+        queue.allowance.subscribe()
+    }
+
+    /// Reports the open connections to a member. A pool calls this before it opens one, with the
+    /// number it would then have, and after it closed one. False means that the number is above
+    /// the allowance and the connection must not be opened. Connections are lent to other hosts
+    /// only after the smaller number was reported.
+    pub fn report_open(&self, database: &str, member: &str, open: u32) -> bool {
+        let limit = LimitId::Connections(database.to_owned(), member.to_owned());
+        let mut state = self.shared.lock();
+        let state = &mut *state;
+        let now = self.shared.now();
+        self.shared.serve_member(state, &limit, now);
+        let Some(queue) = state.members.get_mut(&limit) else {
+            return false;
+        };
+        let accepted = open <= queue.open || state.coordinator.set_open(&limit, open, now);
+        if accepted {
+            queue.open = open;
+        }
+        self.shared.serve_member(state, &limit, now);
+        accepted
+    }
+
+    /// Whether this host may take new work at all: it reached the store or a majority recently.
+    pub fn in_touch(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.lock().coordinator.in_touch(now)
+    }
+
+    /// Whether a majority of the seated hosts vouches for this host, and whether its floors are
+    /// in force.
+    pub fn seat(&self) -> (bool, bool) {
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        let seat = state.coordinator.seat();
+        (seat.is_vouched(now), seat.floor().is_some())
+    }
+
+    /// Refuses all further statements.
+    pub fn stop(&self) {
+        self.shared.lock().stopping = true;
+    }
+
+    fn permit(&self, state: &State, limit: LimitId, ticket: u64) -> ConnectionPermit {
+        let revoked = state
+            .members
+            .get(&limit)
+            .and_then(|m| m.held.get(&ticket).cloned())
+            .unwrap_or_default();
+        ConnectionPermit {
+            shared: self.shared.clone(),
+            limit,
+            ticket,
+            revoked,
+        }
+    }
+
+    fn rate_error(&self, organisation: &str) -> LimitError {
+        LimitError::Rate {
+            organisation: organisation.to_owned(),
+            retry: RETRY,
+        }
+    }
+}
+
+/// Gives up the ticket if the waiting future is dropped.
+struct Waiting<'a> {
+    limits: &'a Limits,
+    limit: &'a LimitId,
+    ticket: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.limits.shared.leave(self.limit, self.ticket);
+    }
+}
+
+fn queue_error(database: &str, member: &str, wait: Duration) -> LimitError {
+    LimitError::Queue {
+        database: database.to_owned(),
+        member: member.to_owned(),
+        wait,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/limits/member_queue.rs
@@ -0,0 +1,46 @@
+//! Connections to one member of a database group on this host.
+
+use std::collections::BTreeMap;
+
+use magnoliahatch_core::fair_queue::FairQueue;
+use magnoliahatch_core::fair_queue::Order;
+use magnoliahatch_core::fair_queue::Ticket;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Fair queue, the permits in use and what the pool reported.
+#[derive(Debug)]
+pub(crate) struct MemberQueue {
+    pub(crate) queue: FairQueue,
+    pub(crate) waiting: BTreeMap<Ticket, oneshot::Sender<()>>,
+    pub(crate) held: BTreeMap<Ticket, CancellationToken>,
+    pub(crate) allowance: watch::Sender<u32>,
+    /// Open connections by the pool's last report.
+    pub(crate) open: u32,
+}
+
+impl MemberQueue {
+    pub(crate) fn new(order: Order) -> Self {
+        Self {
+            queue: FairQueue::new(order),
+            waiting: BTreeMap::new(),
+            held: BTreeMap::new(),
+            allowance: watch::Sender::new(0),
+            open: 0,
+        }
+    }
+
+    /// Connections in use and waited for.
+    pub(crate) fn need(&self) -> u32 {
+        u32::try_from(self.held.len() + self.queue.waiting()).unwrap_or(u32::MAX)
+    }
+
+    /// Revokes the newest permits above `bound`.
+    pub(crate) fn revoke(&self, bound: u32) {
+        let bound = usize::try_from(bound).unwrap_or(usize::MAX);
+        for token in self.held.values().skip(bound) {
+            token.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/limits/shared.rs
@@ -0,0 +1,190 @@
+//! State that admission, the driver and the seat keeper share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::objects::kind;
+use magnoliahatch_core::amount::Amount;
+use magnoliahatch_core::coordinator::Coordinator;
+use magnoliahatch_core::fair_queue::Order;
+use magnoliahatch_core::fair_queue::Ticket;
+use magnoliahatch_core::ids::OrganisationId;
+use magnoliahatch_core::limit::LimitId;
+use magnoliahatch_core::share::Unit;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::limits::member_queue::MemberQueue;
+use crate::limits::rate_queue::RateQueue;
+use crate::limits::table;
+
+/// The coordinator with the queues of this host. Locked for microseconds at a time.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) coordinator: Coordinator,
+    pub(crate) rates: BTreeMap<OrganisationId, RateQueue>,
+    pub(crate) members: BTreeMap<LimitId, MemberQueue>,
+    pub(crate) weights: BTreeMap<OrganisationId, u32>,
+    pub(crate) stopping: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    state: Mutex<State>,
+    base: Instant,
+    order: Order,
+    /// Wakes the driver when a statement starts to wait.
+    pub(crate) wake: Notify,
+}
+
+impl Shared {
+    pub(crate) fn new(coordinator: Coordinator, base: Instant, order: Order) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(State {
+                coordinator,
+                rates: BTreeMap::new(),
+                members: BTreeMap::new(),
+                weights: BTreeMap::new(),
+                stopping: false,
+            }),
+            base,
+            order,
+            wake: Notify::new(),
+        })
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn order(&self) -> Order {
+        self.order
+    }
+
+    /// Time on this process's monotonic clock.
+    pub(crate) fn now(&self) -> Duration {
+        self.base.elapsed()
+    }
+
+    pub(crate) fn since(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.base)
+    }
+
+    /// Applies a configuration: limits, weights, peers and seat table.
+    pub(crate) fn configure(&self, view: &ConfigView) {
+        let mut state = self.lock();
+        let now = self.now();
+        let rates = view.contracts.iter().map(|(organisation, contract)| {
+            let amount = Amount::new(contract.rate, contract.burst);
+            (LimitId::Rate(organisation.clone()), amount)
+        });
+        let members = view.databases.iter().flat_map(|(name, database)| {
+            database.members.iter().map(|member| {
+                let id = LimitId::Connections(name.clone(), member.name.clone());
+                (id, Amount::whole(database.connections))
+            })
+        });
+        let limits: BTreeMap<LimitId, Amount> = rates
+            .chain(members)
+            .filter(|(_, amount)| amount.is_valid())
+            .collect();
+        state.coordinator.set_limits(&limits, now);
+        state.coordinator.set_peers(view.hosts.keys().cloned());
+        let version = view.version(kind::SEATS, kind::SEATS_NAME);
+        if version > 0 {
+            let seats = table::decode(&view.seats, version);
+            state.coordinator.on_table(&seats, now);
+        }
+        state.weights = view
+            .contracts
+            .iter()
+            .map(|(organisation, contract)| (organisation.clone(), contract.weight))
+            .collect();
+        for id in limits.keys().filter(|id| id.unit() == Unit::Whole) {
+            state
+                .members
+                .entry(id.clone())
+                .or_insert_with(|| MemberQueue::new(self.order));
+        }
+        drop(state);
+        self.wake.notify_one();
+    }
+
+    /// Brings all queues to `now`.
+    pub(crate) fn serve(&self, state: &mut State, now: Duration) {
+        let organisations: Vec<OrganisationId> = state.rates.keys().cloned().collect();
+        for organisation in organisations {
+            self.serve_rate(state, &organisation, now);
+        }
+        let members: Vec<LimitId> = state.members.keys().cloned().collect();
+        for limit in members {
+            self.serve_member(state, &limit, now);
+        }
+    }
+
+    pub(crate) fn serve_rate(&self, state: &mut State, organisation: &str, now: Duration) {
+        let Some(queue) = state.rates.get_mut(organisation) else {
+            return;
+        };
+        let limit = LimitId::Rate(organisation.to_owned());
+        let coordinator = &mut state.coordinator;
+        queue.serve(|| coordinator.take(&limit, now));
+        let waiting = u32::try_from(queue.len()).unwrap_or(u32::MAX);
+        if let Some(share) = coordinator.share(&limit, now) {
+            share.demand.set_waiting(waiting);
+        }
+        if waiting == 0 {
+            state.rates.remove(organisation);
+        }
+    }
+
+    pub(crate) fn serve_member(&self, state: &mut State, limit: &LimitId, now: Duration) {
+        let Some(member) = state.members.get_mut(limit) else {
+            return;
+        };
+        for ticket in member.queue.expire(now) {
+            member.waiting.remove(&ticket);
+        }
+        let need = member.need();
+        if let Some(share) = state.coordinator.share(limit, now) {
+            share.set_need(need, now);
+            // A connection in use is open whether the pool has reported it or not.
+            let open = member.open.max(member.held.len() as u32);
+            share.set_open(Some(open));
+        }
+        let allowance = state.coordinator.allowance(limit, now);
+        let capacity = usize::try_from(allowance).unwrap_or(usize::MAX);
+        member.queue.set_capacity(capacity);
+        while let Some(ticket) = member.queue.next(now) {
+            let taken = member.waiting.remove(&ticket).map(|w| w.send(()));
+            if taken == Some(Ok(())) {
+                member.held.insert(ticket, CancellationToken::new());
+            } else {
+                member.queue.leave(ticket, now);
+            }
+        }
+        member.revoke(state.coordinator.bound(limit, now));
+        member.allowance.send_if_modified(|value| {
+            let changed = *value != allowance;
+            *value = allowance;
+            changed
+        });
+    }
+
+    pub(crate) fn leave(&self, limit: &LimitId, ticket: Ticket) {
+        let mut state = self.lock();
+        let now = self.now();
+        if let Some(member) = state.members.get_mut(limit) {
+            member.queue.leave(ticket, now);
+            member.held.remove(&ticket);
+            member.waiting.remove(&ticket);
+        }
+        self.serve_member(&mut state, limit, now);
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/limits_support/mod.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for tests of limits and mesh.
+// Each test binary compiles this module and uses a part of it.
+#![allow(dead_code, unreachable_pub)]
+
+pub mod fleet;
+pub mod store;
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let limit = Instant::now() + Duration::from_secs(40);
+    while !holds() {
+        assert!(Instant::now() < limit, "timed out: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
