Add the control mesh and run limits of several hosts over it

Daemons need to exchange heartbeats, loans and configuration without trusting the network. Frames go over QUIC with mutual TLS (ring); a frame is accepted only from the host that the certificate names, and unknown versions are refused by type. Configuration pulls and pushes come out as a channel.

--- a/crates/daemon/src/limits/driver.rs
+++ b/crates/daemon/src/limits/driver.rs
@@ -1,7 +1,9 @@
 //! Task that exchanges heartbeats and loans and serves the queues.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_core::coordinator::Outgoing;
@@ -63,18 +65,22 @@
 
 /// One round: due messages and the queues. Returns the time until the next.
 fn round(shared: &Shared, out: &mut Vec<Outgoing>) -> Duration {
+    let begun = Instant::now();
     let mut state = shared.lock();
     let state = &mut *state;
     let now = shared.now();
     out.extend(state.coordinator.tick(now));
     shared.serve(state, now);
     let organisations: Vec<_> = state.rates.keys().cloned().collect();
-    organisations
+    let pause = organisations
         .into_iter()
         .filter_map(|organisation| {
             let limit = LimitId::Rate(organisation);
             state.coordinator.share(&limit, now)?.wait()
         })
         .fold(IDLE, Duration::min)
-        .max(BUSY)
+        .max(BUSY);
+    let busy = u64::try_from(begun.elapsed().as_nanos()).unwrap_or(u64::MAX);
+    shared.busy_ns.fetch_add(busy, Ordering::Relaxed);
+    pause
 }
--- a/crates/daemon/src/limits/handle.rs
+++ b/crates/daemon/src/limits/handle.rs
@@ -1,6 +1,7 @@
 //! Handle that the data path uses.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -225,6 +226,11 @@
         (seat.is_vouched(now), seat.floor().is_some())
     }
 
+    /// Time spent on loans, seats and queues since the start, without admission itself.
+    pub fn busy(&self) -> Duration {
+        Duration::from_nanos(self.shared.busy_ns.load(Ordering::Relaxed))
+    }
+
     /// Refuses all further statements.
     pub fn stop(&self) {
         self.shared.lock().stopping = true;
--- a/crates/daemon/src/limits/shared.rs
+++ b/crates/daemon/src/limits/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -41,6 +42,7 @@
     order: Order,
     /// Wakes the driver when a statement starts to wait.
     pub(crate) wake: Notify,
+    pub(crate) busy_ns: AtomicU64,
 }
 
 impl Shared {
@@ -56,6 +58,7 @@
             base,
             order,
             wake: Notify::new(),
+            busy_ns: AtomicU64::new(0),
         })
     }
 
--- /dev/null
+++ b/crates/daemon/src/mesh/frame.rs
@@ -0,0 +1,83 @@
+//! Format of a control message.
+
+use magnoliahatch_core::heartbeat::Heartbeat;
+use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::Incarnation;
+use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::limit::LimitId;
+use magnoliahatch_core::loan::LoanGrant;
+use magnoliahatch_core::loan::LoanRequest;
+use magnoliahatch_core::message::Message;
+use magnoliahatch_core::seat_table::SeatTable;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::mesh::announcement::Announcement;
+
+/// Version of the format. It is the first byte of every frame, so that it can be read whatever
+/// follows.
+pub const VERSION: u8 = 1;
+
+/// Content of a frame.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    Heartbeat(Heartbeat, Announcement),
+    Seats(SeatTable),
+    LoanPool(Vec<(LimitId, LoanRequest)>),
+    LoanOffer(Vec<(LimitId, LoanGrant)>),
+    LoanRequest(Vec<(LimitId, LoanRequest)>),
+    LoanGrant(Vec<(LimitId, LoanGrant)>),
+    ConfigPull(Revision),
+    /// A change list as JSON: the objects' values have no fixed shape, which postcard needs.
+    ConfigPush(String),
+}
+
+/// A control message with its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    pub sender: HostId,
+    pub incarnation: Incarnation,
+    /// Pairs a configuration push with its pull; the other bodies carry their own numbers.
+    pub request: u64,
+    pub body: Body,
+}
+
+/// Why a frame was refused.
+#[derive(Debug, Error, PartialEq)]
+pub enum FrameError {
+    #[error("frame is empty")]
+    Empty,
+    #[error("frame has format version {0}, this daemon reads version {VERSION}")]
+    Version(u8),
+    #[error("frame cannot be read: {0}")]
+    Format(#[from] postcard::Error),
+}
+
+impl Frame {
+    pub fn encode(&self) -> Result<Vec<u8>, FrameError> {
+        Ok(postcard::to_extend(self, vec![VERSION])?)
+    }
+
+    pub fn decode(data: &[u8]) -> Result<Self, FrameError> {
+        match data.split_first() {
+            None => Err(FrameError::Empty),
+            Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            Some((&version, _)) => Err(FrameError::Version(version)),
+        }
+    }
+}
+
+impl Body {
+    /// Wraps a message of the limits; heartbeats carry the announcement.
+    pub fn from_message(message: Message, announcement: &Announcement) -> Self {
+        match message {
+            Message::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat, announcement.clone()),
+            Message::Seats(table) => Self::Seats(table),
+            Message::LoanPool(requests) => Self::LoanPool(requests),
+            Message::LoanOffer(grants) => Self::LoanOffer(grants),
+            Message::LoanRequest(requests) => Self::LoanRequest(requests),
+            Message::LoanGrant(grants) => Self::LoanGrant(grants),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/handle.rs
@@ -0,0 +1,265 @@
+//! The running mesh.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::objects::change_list::ChangeList;
+use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::Incarnation;
+use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::message::Message;
+use quinn::Endpoint;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tracing::info;
+use tracing::warn;
+
+use crate::limits::link::Incoming;
+use crate::limits::link::LinkPeer;
+use crate::mesh::announcement::Announcement;
+use crate::mesh::event::MeshEvent;
+use crate::mesh::frame::Body;
+use crate::mesh::frame::Frame;
+use crate::mesh::mesh_error::MeshError;
+use crate::mesh::outbound::Outbound;
+use crate::mesh::peer_report::PeerReport;
+use crate::mesh::receive;
+use crate::mesh::settings::MeshSettings;
+use crate::mesh::stats::Stats;
+use crate::mesh::tls;
+
+/// Frames that may wait for the mesh's own task.
+const DEPTH: usize = 1024;
+
+type Reports = BTreeMap<HostId, PeerReport>;
+
+/// Handle to the mesh. The task ends when the limits' link or the configuration channel closes.
+#[derive(Debug, Clone)]
+pub struct Mesh {
+    address: SocketAddr,
+    reports: watch::Receiver<Reports>,
+    requests: mpsc::Sender<(HostId, u64, Body)>,
+    stats: Arc<Stats>,
+}
+
+struct Task {
+    host: HostId,
+    incarnation: Incarnation,
+    endpoint: Endpoint,
+    peers: BTreeMap<HostId, Outbound>,
+    reports: watch::Sender<Reports>,
+    events: mpsc::Sender<MeshEvent>,
+    stats: Arc<Stats>,
+}
+
+impl Mesh {
+    /// Binds the control address and starts the tasks. Configuration messages of peers come out
+    /// of the returned channel.
+    pub fn bind(
+        settings: &MeshSettings,
+        host: HostId,
+        incarnation: Incarnation,
+        link: LinkPeer,
+        config: watch::Receiver<Arc<ConfigView>>,
+        announcement: watch::Receiver<Announcement>,
+    ) -> Result<(Self, mpsc::Receiver<MeshEvent>), MeshError> {
+        let (server, client) = tls::configs(settings)?;
+        let mut endpoint = Endpoint::server(server, settings.listen).map_err(MeshError::Bind)?;
+        endpoint.set_default_client_config(client);
+        let address = endpoint.local_addr().map_err(MeshError::Bind)?;
+        let stats = Arc::new(Stats::default());
+        let (frames_in, frames) = mpsc::channel(DEPTH);
+        let (events, events_out) = mpsc::channel(DEPTH);
+        let (requests, requests_out) = mpsc::channel(DEPTH);
+        let reports = watch::Sender::new(Reports::new());
+        let mesh = Self {
+            address,
+            reports: reports.subscribe(),
+            requests,
+            stats: stats.clone(),
+        };
+        tokio::spawn(receive::run(endpoint.clone(), frames_in, stats.clone()));
+        let task = Task {
+            host,
+            incarnation,
+            endpoint,
+            peers: BTreeMap::new(),
+            reports,
+            events,
+            stats,
+        };
+        tokio::spawn(task.run(link, config, announcement, frames, requests_out));
+        Ok((mesh, events_out))
+    }
+
+    /// The bound control address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Last announcement of each peer.
+    pub fn reports(&self) -> watch::Receiver<Reports> {
+        self.reports.clone()
+    }
+
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Asks a peer for all changes after a revision. Lost requests are not repeated.
+    pub fn pull(&self, to: &HostId, request: u64, after: Revision) {
+        self.request(to, request, Body::ConfigPull(after));
+    }
+
+    /// Sends changes to a peer, as the answer to a pull or unasked with request 0.
+    pub fn push(&self, to: &HostId, request: u64, changes: &ChangeList) {
+        match serde_json::to_string(changes) {
+            Ok(text) => self.request(to, request, Body::ConfigPush(text)),
+            Err(error) => warn!(event = 314, %error, "configuration changes cannot be sent"),
+        }
+    }
+
+    fn request(&self, to: &HostId, request: u64, body: Body) {
+        if self.requests.try_send((to.clone(), request, body)).is_err() {
+            self.stats.on_dropped();
+        }
+    }
+}
+
+impl Task {
+    async fn run(
+        mut self,
+        mut link: LinkPeer,
+        mut config: watch::Receiver<Arc<ConfigView>>,
+        announcement: watch::Receiver<Announcement>,
+        mut frames: mpsc::Receiver<Frame>,
+        mut requests: mpsc::Receiver<(HostId, u64, Body)>,
+    ) {
+        self.set_peers(&config.borrow_and_update().clone());
+        loop {
+            tokio::select! {
+                frame = frames.recv() => match frame {
+                    Some(frame) => self.on_frame(frame, &link),
+                    None => break,
+                },
+                outgoing = link.input.recv() => match outgoing {
+                    Some(outgoing) => {
+                        let body = Body::from_message(outgoing.message, &announcement.borrow());
+                        self.send(&outgoing.to, 0, body);
+                    }
+                    None => break,
+                },
+                Some((to, request, body)) = requests.recv() => self.send(&to, request, body),
+                changed = config.changed() => {
+                    if changed.is_err() {
+                        break;
+                    }
+                    self.set_peers(&config.borrow_and_update().clone());
+                }
+            }
+        }
+        self.endpoint.close(0u32.into(), b"stopping");
+        info!(event = 315, "control mesh stopped");
+    }
+
+    fn set_peers(&mut self, view: &ConfigView) {
+        self.peers.retain(|host, peer| {
+            let status = view.hosts.get(host);
+            status.is_some_and(|s| s.control == peer.address)
+        });
+        for (host, status) in view.hosts.iter().filter(|(host, _)| **host != self.host) {
+            if !self.peers.contains_key(host) {
+                let endpoint = self.endpoint.clone();
+                let stats = self.stats.clone();
+                let peer = Outbound::spawn(host.clone(), status.control, endpoint, stats);
+                self.peers.insert(host.clone(), peer);
+            }
+        }
+    }
+
+    fn send(&self, to: &HostId, request: u64, body: Body) {
+        let Some(peer) = self.peers.get(to) else {
+            self.stats.on_dropped();
+            return;
+        };
+        let begun = Instant::now();
+        let frame = Frame {
+            sender: self.host.clone(),
+            incarnation: self.incarnation,
+            request,
+            body,
+        };
+        match frame.encode() {
+            Ok(data) => peer.send(Bytes::from(data)),
+            Err(error) => warn!(event = 314, %error, "control frame cannot be encoded"),
+        }
+        self.stats.on_busy(begun.elapsed());
+    }
+
+    fn on_frame(&self, frame: Frame, link: &LinkPeer) {
+        let Frame {
+            sender,
+            incarnation,
+            request,
+            body,
+        } = frame;
+        let message = match body {
+            Body::Heartbeat(heartbeat, announcement) => {
+                let report = PeerReport {
+                    incarnation,
+                    heard: Instant::now(),
+                    announcement,
+                };
+                self.reports.send_modify(|reports| {
+                    reports.insert(sender.clone(), report);
+                });
+                Message::Heartbeat(heartbeat)
+            }
+            Body::Seats(table) => Message::Seats(table),
+            Body::LoanPool(requests) => Message::LoanPool(requests),
+            Body::LoanOffer(grants) => Message::LoanOffer(grants),
+            Body::LoanRequest(requests) => Message::LoanRequest(requests),
+            Body::LoanGrant(grants) => Message::LoanGrant(grants),
+            Body::ConfigPull(after) => {
+                self.raise(MeshEvent::ConfigPull {
+                    from: sender,
+                    request,
+                    after,
+                });
+                return;
+            }
+            Body::ConfigPush(text) => {
+                match serde_json::from_str(&text) {
+                    Ok(changes) => self.raise(MeshEvent::ConfigPush {
+                        from: sender,
+                        request,
+                        changes,
+                    }),
+                    Err(error) => {
+                        self.stats.on_refused();
+                        warn!(event = 313, %error, "configuration push refused");
+                    }
+                }
+                return;
+            }
+        };
+        let incoming = Incoming {
+            from: sender,
+            incarnation,
+            message,
+        };
+        if link.output.try_send(incoming).is_err() {
+            self.stats.on_dropped();
+        }
+    }
+
+    fn raise(&self, event: MeshEvent) {
+        if self.events.try_send(event).is_err() {
+            self.stats.on_dropped();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/limits_fleet.rs
@@ -0,0 +1,320 @@
+//! Limits and mesh of several hosts on loopback, with faults.
+
+mod limits_support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use limits_support::certificates;
+use limits_support::fleet::view;
+use limits_support::node::History;
+use limits_support::node::Node;
+use limits_support::node::addresses;
+use limits_support::store::Store;
+use limits_support::until;
+use magnoliahatch_daemon::limits::limit_error::LimitError;
+use magnoliahatch_daemon::limits::settings::LimitSettings;
+use tempfile::TempDir;
+
+const RATE: f64 = 400.0;
+const BURST: f64 = 40.0;
+const CONNECTIONS: u32 = 8;
+/// A statement is recorded by the test a little after it was admitted.
+const RECORDED_LATE: f64 = 0.05;
+
+struct Fleet {
+    tls: TempDir,
+    store: Store,
+    settings: LimitSettings,
+    nodes: Vec<Option<Node>>,
+    history: History,
+    known: BTreeMap<String, SocketAddr>,
+}
+
+impl Fleet {
+    async fn start(count: usize, settings: LimitSettings) -> Self {
+        let names: Vec<String> = (0..count).map(|i| format!("host-{i}")).collect();
+        let tls = TempDir::new().unwrap();
+        certificates::write(tls.path(), &names);
+        let mut fleet = Self {
+            tls,
+            store: Store::bind().await,
+            settings,
+            nodes: Vec::new(),
+            history: History::default(),
+            known: BTreeMap::new(),
+        };
+        fleet.nodes.resize_with(count, || None);
+        for index in 0..count {
+            fleet.launch(index);
+        }
+        fleet.all_seated().await;
+        fleet
+    }
+
+    fn launch(&mut self, index: usize) {
+        let name = format!("host-{index}");
+        let url = self.store.url();
+        let node = Node::spawn(
+            &name,
+            self.tls.path(),
+            &url,
+            self.settings,
+            self.history.clone(),
+        );
+        self.nodes[index] = Some(node);
+        self.known.extend(addresses(self.nodes.iter().flatten()));
+        let view = Arc::new(view(RATE, BURST, CONNECTIONS, &self.known));
+        for node in self.nodes.iter().flatten() {
+            node.configure(&view);
+        }
+    }
+
+    fn node(&mut self, index: usize) -> &mut Node {
+        self.nodes[index].as_mut().unwrap()
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.nodes[index].take().unwrap().kill();
+    }
+
+    async fn all_seated(&self) {
+        let seated = || {
+            self.nodes
+                .iter()
+                .flatten()
+                .all(|n| n.parts.limits.seat() == (true, true))
+        };
+        until("every host holds a seat", seated).await;
+    }
+
+    fn load(&self, loads: &[u32]) {
+        for (node, load) in self.nodes.iter().zip(loads) {
+            if let Some(node) = node {
+                node.load.store(*load, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn admitted(&self) -> usize {
+        self.history.lock().unwrap().len()
+    }
+
+    /// Part of the contract's rate that is used within the next `seconds`.
+    async fn used(&self, seconds: f64) -> f64 {
+        let (start, before) = (Instant::now(), self.admitted());
+        until("the measurement", || {
+            start.elapsed().as_secs_f64() >= seconds
+        })
+        .await;
+        (self.admitted() - before) as f64 / RATE / start.elapsed().as_secs_f64()
+    }
+
+    /// Fails if the merged history exceeds rate x window + burst anywhere.
+    fn check(&self) {
+        let mut history = self.history.lock().unwrap().clone();
+        history.sort_unstable();
+        let burst = BURST + RATE * RECORDED_LATE;
+        let (mut tokens, mut last, mut least) = (burst, history[0], burst);
+        for at in &history {
+            tokens = (tokens + RATE * (*at - last).as_secs_f64()).min(burst) - 1.0;
+            last = *at;
+            least = least.min(tokens);
+        }
+        println!(
+            "{} statements, least room {least:.1} of {burst}",
+            history.len()
+        );
+        assert!(
+            least >= 0.0,
+            "the fleet exceeded the contract by {}",
+            -least
+        );
+    }
+
+    /// Frames, their bytes, bytes on the wire and seconds of work on limits, of all hosts.
+    fn cost(&self) -> [f64; 4] {
+        let mut sum = [0.0; 4];
+        for node in self.nodes.iter().flatten() {
+            let stats = node.parts.mesh.stats().snapshot();
+            sum[0] += stats.sent as f64;
+            sum[1] += stats.sent_bytes as f64;
+            sum[2] += stats.wire_bytes as f64;
+            sum[3] += (stats.busy + node.parts.limits.busy()).as_secs_f64();
+        }
+        sum
+    }
+}
+
+/// Guards against unused share that stays on idle hosts, with the store up and down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_moving_load_uses_the_contract_also_while_the_store_is_down() {
+    let fleet = Fleet::start(4, LimitSettings::default()).await;
+    for (case, loads) in [
+        ("even", [20, 20, 20, 20]),
+        ("on host 0", [40, 0, 0, 0]),
+        ("store down, moved to host 2", [0, 0, 40, 0]),
+        ("store down, moved to host 1", [0, 40, 0, 0]),
+    ] {
+        fleet.store.set_up(!case.starts_with("store down"));
+        fleet.load(&loads);
+        fleet.used(2.0).await;
+        let before = fleet.cost();
+        let used = fleet.used(3.0).await;
+        let after = fleet.cost();
+        let per = |i: usize| (after[i] - before[i]) / 3.0 / fleet.nodes.len() as f64;
+        println!(
+            "{case}: {:.1}% of the rate; per host and second {:.1} frames of {:.0} bytes, {:.0} \
+             bytes on the wire, {:.2} ms of work",
+            used * 100.0,
+            per(0),
+            per(1),
+            per(2),
+            per(3) * 1e3
+        );
+        assert!(used > 0.9, "{case}: {used}");
+    }
+    fleet.check();
+}
+
+/// Guards against a paused host that goes on with its share, and against a seat that nobody gets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_host_loses_its_seat_and_takes_a_new_one() {
+    let mut fleet = Fleet::start(4, LimitSettings::default()).await;
+    fleet.load(&[20, 20, 20, 20]);
+    fleet.used(1.0).await;
+    fleet.node(3).pause();
+    let seats = |fleet: &Fleet| {
+        fleet.store.value("seats/all").unwrap()["seats"]
+            .as_array()
+            .unwrap()
+            .len()
+    };
+    until("the paused host's seat is removed", || seats(&fleet) == 3).await;
+    let used = fleet.used(2.0).await;
+    println!("three of four hosts: {:.1}% of the rate", used * 100.0);
+    assert!(used > 0.9, "{used}");
+    fleet.node(3).resume();
+    until("the host has a seat again", || seats(&fleet) == 4).await;
+    fleet.all_seated().await;
+    let before = fleet.node(3).admitted.load(Ordering::Relaxed);
+    fleet.used(2.0).await;
+    assert!(fleet.node(3).admitted.load(Ordering::Relaxed) > before + 100);
+    fleet.check();
+}
+
+/// Guards against a restart that uses a share twice, and against a restarted host that cannot
+/// serve because the store is down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_host_serves_again_while_the_store_is_down() {
+    let mut fleet = Fleet::start(4, LimitSettings::default()).await;
+    fleet.load(&[10, 10, 10, 40]);
+    fleet.used(1.0).await;
+    fleet.store.set_up(false);
+    fleet.kill(3);
+    fleet.load(&[0, 0, 0, 0]);
+    fleet.launch(3);
+    fleet.load(&[0, 0, 0, 40]);
+    let started = Instant::now();
+    until("the restarted host admits statements by loans", || {
+        fleet.nodes[3]
+            .as_ref()
+            .unwrap()
+            .admitted
+            .load(Ordering::Relaxed)
+            > 100
+    })
+    .await;
+    println!(
+        "100 statements by loans {:?} after the restart",
+        started.elapsed()
+    );
+    assert_eq!(fleet.node(3).parts.limits.seat(), (true, false));
+    fleet.store.set_up(true);
+    fleet.all_seated().await;
+    fleet.load(&[20, 20, 20, 20]);
+    fleet.used(2.0).await;
+    let used = fleet.used(2.0).await;
+    println!("after the store is back: {:.1}% of the rate", used * 100.0);
+    assert!(used > 0.9, "{used}");
+    fleet.check();
+}
+
+/// Guards against a host that serves with old keys and configuration after it lost everyone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_without_store_and_majority_refuses() {
+    let mut fleet = Fleet::start(3, LimitSettings::default()).await;
+    let permit = {
+        let soon = Instant::now() + Duration::from_secs(1);
+        let limits = fleet.node(0).parts.limits.clone();
+        limits.connection("db", "m1", "org", soon).await.unwrap()
+    };
+    fleet.store.set_up(false);
+    fleet.kill(1);
+    fleet.kill(2);
+    let limits = fleet.node(0).parts.limits.clone();
+    let cut = Instant::now();
+    until("the host has lost touch", || !limits.in_touch()).await;
+    println!("refused {:?} after the loss", cut.elapsed());
+    let soon = Instant::now() + Duration::from_secs(1);
+    assert_eq!(limits.admit("org", soon).await, Err(LimitError::OutOfTouch));
+    let refused = limits.connection("db", "m1", "org", soon).await;
+    assert!(matches!(refused, Err(LimitError::OutOfTouch)));
+    permit.revoked().await;
+}
+
+/// Guards against connections that are lent while they are still open, and against permits that
+/// do not follow the load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_follow_the_load_once_the_pool_has_closed_them() {
+    let fleet = Fleet::start(4, LimitSettings::default()).await;
+    let limits: Vec<_> = fleet
+        .nodes
+        .iter()
+        .flatten()
+        .map(|n| n.parts.limits.clone())
+        .collect();
+    for host in &limits {
+        let mut allowance = host.allowance("db", "m1");
+        until("the floor of two connections", || {
+            *allowance.borrow_and_update() == 2
+        })
+        .await;
+        assert!(host.report_open("db", "m1", 2));
+    }
+    let mut waiting = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let host = limits[0].clone();
+        waiting.push(tokio::spawn(async move {
+            let soon = Instant::now() + Duration::from_secs(20);
+            host.connection("db", "m1", "org", soon).await
+        }));
+    }
+    let recalled = |host: usize| *limits[host].allowance("db", "m1").borrow() == 0;
+    until("idle hosts are asked to close", || (1..4).all(recalled)).await;
+    assert_eq!(
+        *limits[0].allowance("db", "m1").borrow(),
+        2,
+        "nothing was closed yet"
+    );
+    for host in &limits[1..] {
+        assert!(host.report_open("db", "m1", 0));
+    }
+    let asked = Instant::now();
+    until("the busy host may use every connection", || {
+        *limits[0].allowance("db", "m1").borrow() == CONNECTIONS
+    })
+    .await;
+    println!(
+        "all connections {:?} after the pools closed them",
+        asked.elapsed()
+    );
+    assert!(!limits[1].report_open("db", "m1", 1));
+    for task in waiting {
+        assert!(task.await.unwrap().is_ok());
+    }
+}
--- a/crates/daemon/tests/limits_support/mod.rs
+++ b/crates/daemon/tests/limits_support/mod.rs
@@ -2,7 +2,9 @@
 // Each test binary compiles this module and uses a part of it.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod certificates;
 pub mod fleet;
+pub mod node;
 pub mod store;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/daemon/tests/limits_support/node.rs
@@ -0,0 +1,186 @@
+//! One host's limits and mesh on a thread of its own, so that it can be paused and killed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::store::StoreClient;
+use magnoliahatch_daemon::limits::Limits;
+use magnoliahatch_daemon::limits::link;
+use magnoliahatch_daemon::limits::settings::LimitSettings;
+use magnoliahatch_daemon::mesh::Mesh;
+use magnoliahatch_daemon::mesh::announcement::Announcement;
+use magnoliahatch_daemon::mesh::event::MeshEvent;
+use magnoliahatch_daemon::mesh::settings::MeshSettings;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+/// Times of all admitted statements of a fleet.
+pub type History = Arc<Mutex<Vec<Instant>>>;
+
+pub struct Parts {
+    pub limits: Limits,
+    pub mesh: Mesh,
+    pub events: Option<mpsc::Receiver<MeshEvent>>,
+    pub announcement: watch::Sender<Announcement>,
+    config: watch::Sender<Arc<ConfigView>>,
+    handle: Handle,
+}
+
+pub struct Node {
+    pub name: String,
+    pub parts: Parts,
+    /// Statements that are offered at once; 0 for no load.
+    pub load: Arc<AtomicU32>,
+    pub admitted: Arc<AtomicU64>,
+    paused: Option<std::sync::mpsc::Sender<()>>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Node {
+    pub fn spawn(
+        name: &str,
+        tls: &Path,
+        store: &str,
+        settings: LimitSettings,
+        history: History,
+    ) -> Self {
+        let mesh_settings = MeshSettings {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            certificate: tls.join(format!("{name}.pem")),
+            key: tls.join(format!("{name}.key")),
+            authority: tls.join("authority.pem"),
+        };
+        let (parts_in, parts_out) = std::sync::mpsc::channel();
+        let (stop, stopped) = oneshot::channel();
+        let load = Arc::new(AtomicU32::new(0));
+        let admitted = Arc::new(AtomicU64::new(0));
+        let store = StoreClient::open(store).unwrap();
+        let host = name.to_owned();
+        let (offered, counted) = (load.clone(), admitted.clone());
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap();
+            runtime.block_on(async move {
+                let incarnation = rand::random::<u64>().max(1);
+                let (config, view) = watch::channel(Arc::new(ConfigView::default()));
+                let (end, peer) = link::link();
+                let (announcement, announced) = watch::channel(Announcement::default());
+                let (mesh, events) = Mesh::bind(
+                    &mesh_settings,
+                    host.clone(),
+                    incarnation,
+                    peer,
+                    view.clone(),
+                    announced,
+                )
+                .unwrap();
+                let limits = Limits::spawn(host, incarnation, settings, end, store, view);
+                for index in 0..MOST {
+                    let worker = worker(
+                        index,
+                        limits.clone(),
+                        offered.clone(),
+                        counted.clone(),
+                        history.clone(),
+                    );
+                    tokio::spawn(worker);
+                }
+                let parts = Parts {
+                    limits,
+                    mesh,
+                    events: Some(events),
+                    announcement,
+                    config,
+                    handle: Handle::current(),
+                };
+                parts_in.send(parts).unwrap();
+                let _ = stopped.await;
+            });
+            runtime.shutdown_background();
+        });
+        Self {
+            name: name.to_owned(),
+            parts: parts_out.recv().unwrap(),
+            load,
+            admitted,
+            paused: None,
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+
+    pub fn configure(&self, view: &Arc<ConfigView>) {
+        self.parts.config.send_replace(view.clone());
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.parts.mesh.address()
+    }
+
+    /// Stops the whole host, like a stopped process.
+    pub fn pause(&mut self) {
+        let (resume, resumed) = std::sync::mpsc::channel::<()>();
+        self.parts.handle.spawn(async move {
+            // Blocks the host's only thread on purpose.
+            let _ = resumed.recv();
+        });
+        self.paused = Some(resume);
+    }
+
+    pub fn resume(&mut self) {
+        self.paused = None;
+    }
+
+    /// Ends the host without any farewell to its peers.
+    pub fn kill(mut self) {
+        self.paused = None;
+        drop(self.stop.take());
+        self.thread.take().unwrap().join().unwrap();
+    }
+}
+
+/// Statements that a host offers at once at most.
+pub const MOST: u32 = 40;
+
+async fn worker(
+    index: u32,
+    limits: Limits,
+    load: Arc<AtomicU32>,
+    admitted: Arc<AtomicU64>,
+    history: History,
+) {
+    loop {
+        if index >= load.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        }
+        let deadline = Instant::now() + Duration::from_secs(1);
+        match limits.admit("org", deadline).await {
+            Ok(()) => {
+                history.lock().unwrap().push(Instant::now());
+                admitted.fetch_add(1, Ordering::Relaxed);
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+/// Control addresses of hosts.
+pub fn addresses<'a>(nodes: impl Iterator<Item = &'a Node>) -> BTreeMap<String, SocketAddr> {
+    nodes.map(|n| (n.name.clone(), n.address())).collect()
+}
--- /dev/null
+++ b/crates/daemon/tests/mesh.rs
@@ -0,0 +1,176 @@
+//! The control mesh between two hosts.
+
+mod limits_support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use limits_support::certificates;
+use limits_support::fleet::change;
+use limits_support::fleet::view;
+use limits_support::node::History;
+use limits_support::node::Node;
+use limits_support::node::addresses;
+use limits_support::store::Store;
+use limits_support::until;
+use magnoliahatch_client::objects::change_list::ChangeList;
+use magnoliahatch_daemon::limits::settings::LimitSettings;
+use magnoliahatch_daemon::mesh::announcement::Suspect;
+use magnoliahatch_daemon::mesh::event::MeshEvent;
+use magnoliahatch_daemon::mesh::frame::Body;
+use magnoliahatch_daemon::mesh::frame::Frame;
+use magnoliahatch_daemon::mesh::frame::FrameError;
+use tempfile::TempDir;
+
+/// Guards against a frame of another version that is read as if it were this one.
+#[test]
+fn unknown_versions_are_refused_by_type() {
+    let frame = Frame {
+        sender: "host-0".into(),
+        incarnation: 3,
+        request: 9,
+        body: Body::ConfigPull(17),
+    };
+    let mut data = frame.encode().unwrap();
+    assert_eq!(Frame::decode(&data), Ok(frame));
+    data[0] = 2;
+    assert_eq!(Frame::decode(&data), Err(FrameError::Version(2)));
+    assert_eq!(Frame::decode(&[]), Err(FrameError::Empty));
+    assert!(matches!(
+        Frame::decode(&[1, 200]),
+        Err(FrameError::Format(_))
+    ));
+}
+
+fn pair(tls: &TempDir, store: &Store) -> [Node; 2] {
+    let node = |name: &str| {
+        let settings = LimitSettings::default();
+        Node::spawn(name, tls.path(), &store.url(), settings, History::default())
+    };
+    let nodes = [node("host-0"), node("host-1")];
+    let view = Arc::new(view(10.0, 10.0, 2, &addresses(nodes.iter())));
+    nodes.iter().for_each(|n| n.configure(&view));
+    nodes
+}
+
+fn heard(node: &Node, peer: &str) -> bool {
+    let reports = node.parts.mesh.reports();
+    let reports = reports.borrow();
+    reports
+        .get(peer)
+        .is_some_and(|r| r.heard.elapsed() < Duration::from_secs(2))
+}
+
+/// Guards against announcements and configuration that do not arrive, and against a connection
+/// that stays silent after the peer was stopped for a while.
+#[tokio::test]
+async fn announcements_and_configuration_arrive_and_silence_ends() {
+    let tls = TempDir::new().unwrap();
+    certificates::write(tls.path(), &["host-0".into(), "host-1".into()]);
+    let store = Store::bind().await;
+    let [mut first, mut second] = pair(&tls, &store);
+    let suspect = Suspect {
+        database: "db".into(),
+        term: 4,
+    };
+    first.parts.announcement.send_modify(|a| {
+        a.suspects.push(suspect.clone());
+        a.draining = true;
+        a.revision = 12;
+    });
+    until("the announcement has arrived", || {
+        let reports = second.parts.mesh.reports();
+        let reports = reports.borrow();
+        let announcement = reports.get("host-0").map(|r| r.announcement.clone());
+        announcement
+            .is_some_and(|a| a.suspects == [suspect.clone()] && a.draining && a.revision == 12)
+    })
+    .await;
+    until("both sides are heard", || heard(&first, "host-1")).await;
+
+    let mut events = first.parts.events.take().unwrap();
+    let to: String = "host-0".into();
+    second.parts.mesh.pull(&to, 5, 11);
+    let pulled = events.recv().await.unwrap();
+    let from: String = "host-1".into();
+    assert_eq!(
+        pulled,
+        MeshEvent::ConfigPull {
+            from: from.clone(),
+            request: 5,
+            after: 11
+        }
+    );
+    // Larger than one datagram.
+    let text = "x".repeat(100_000);
+    let changes = ChangeList {
+        revision: 12,
+        changes: vec![change("contract", "org", 12, text.into())],
+    };
+    first.parts.mesh.push(&from, 5, &changes);
+    let pushed = second.parts.events.take().unwrap().recv().await.unwrap();
+    assert_eq!(
+        pushed,
+        MeshEvent::ConfigPush {
+            from: to,
+            request: 5,
+            changes
+        }
+    );
+
+    second.pause();
+    until("the paused peer is silent", || !heard(&first, "host-1")).await;
+    // Longer than the connection survives.
+    until("the silence has lasted", || {
+        let reports = first.parts.mesh.reports();
+        let reports = reports.borrow();
+        reports["host-1"].heard.elapsed() > Duration::from_secs(5)
+    })
+    .await;
+    second.resume();
+    until("the peers talk again", || {
+        heard(&first, "host-1") && heard(&second, "host-0")
+    })
+    .await;
+}
+
+/// Guards against a host that speaks for another, and against strangers.
+#[tokio::test]
+async fn frames_are_accepted_only_from_the_host_that_the_certificate_names() {
+    let tls = TempDir::new().unwrap();
+    certificates::write(tls.path(), &["host-0".into(), "host-1".into()]);
+    // Signed by the same authority, but for another name.
+    std::fs::copy(tls.path().join("host-1.pem"), tls.path().join("host-2.pem")).unwrap();
+    std::fs::copy(tls.path().join("host-1.key"), tls.path().join("host-2.key")).unwrap();
+    let strangers = TempDir::new().unwrap();
+    certificates::write(strangers.path(), &["host-1".into()]);
+    let store = Store::bind().await;
+    for (folder, name) in [(&tls, "host-2"), (&strangers, "host-1")] {
+        let settings = LimitSettings::default();
+        let server = Node::spawn(
+            "host-0",
+            tls.path(),
+            &store.url(),
+            settings,
+            History::default(),
+        );
+        let client = Node::spawn(
+            name,
+            folder.path(),
+            &store.url(),
+            settings,
+            History::default(),
+        );
+        client.configure(&Arc::new(view(
+            10.0,
+            10.0,
+            2,
+            &addresses([&server].into_iter()),
+        )));
+        until("the connection is refused", || {
+            server.parts.mesh.stats().snapshot().refused > 0
+        })
+        .await;
+        assert!(server.parts.mesh.reports().borrow().is_empty());
+    }
+}
