--- a/crates/client/src/config_view.rs
+++ b/crates/client/src/config_view.rs
@@ -204,6 +204,11 @@
         last.filter_map(|change| change.object.as_ref())
     }
 
+    /// Version of one object as received; 0 if none was applied.
+    pub fn version(&self, kind: &str, name: &str) -> Revision {
+        self.object(kind, name).map_or(0, |object| object.version)
+    }
+
     /// Whether new work may go to this subject, for instance `endpoint/hire-1`.
     pub fn in_service(&self, subject: &str) -> bool {
         self.placements.get(subject) != Some(&Placement::Out)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod position_ring;
 pub mod prepared;
 pub mod rendezvous;
+mod renewal;
 pub mod retry_budget;
 pub mod role;
 pub mod route;
