--- a/crates/bench/src/harness/fleet.rs
+++ b/crates/bench/src/harness/fleet.rs
@@ -258,6 +258,7 @@
                 "cert": files.certificate,
                 "key": files.key,
             },
+            "advertise": {"control": self.link(&links::control(name))?},
             "log": {"filter": "warn"},
         });
         for (field, value) in &self.plan.daemon {
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -16,10 +16,10 @@
 
 use crate::ids::MemberId;
 use crate::ids::Term;
+use crate::role::Role;
 use crate::verb::Answer;
 use crate::verb::LogEnd;
 use crate::verb::MemberStatus;
-use crate::verb::Role;
 use crate::verb::Verb;
 
 /// What the caller has to do.
--- a/crates/core/src/verb.rs
+++ b/crates/core/src/verb.rs
@@ -3,6 +3,7 @@
 use crate::ids::LogIndex;
 use crate::ids::MemberId;
 use crate::ids::Term;
+use crate::role::Role;
 
 /// End of a member's log. A log is newer than another if its last entry has the higher term, or
 /// the higher index in the same term.
@@ -12,14 +13,6 @@
     pub received: LogIndex,
 }
 
-/// Role that a member reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Role {
-    Primary,
-    Replica,
-    Fenced,
-}
-
 /// What a member reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberStatus {
--- a/crates/core/tests/election/checks.rs
+++ b/crates/core/tests/election/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use magnoliahatch_core::verb::Role;
+use magnoliahatch_core::role::Role;
 
 use crate::model::Entry;
 use crate::model::Member;
--- a/crates/core/tests/election/model.rs
+++ b/crates/core/tests/election/model.rs
@@ -4,10 +4,10 @@
 
 use magnoliahatch_core::ids::LogIndex;
 use magnoliahatch_core::ids::Term;
+use magnoliahatch_core::role::Role;
 use magnoliahatch_core::verb::Answer;
 use magnoliahatch_core::verb::LogEnd;
 use magnoliahatch_core::verb::MemberStatus;
-use magnoliahatch_core::verb::Role;
 
 /// An entry: its term and a number that no other entry has.
 pub(crate) type Entry = (Term, u64);
--- a/crates/core/tests/election/world.rs
+++ b/crates/core/tests/election/world.rs
@@ -8,8 +8,8 @@
 use magnoliahatch_core::election::Timing;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Term;
+use magnoliahatch_core::role::Role;
 use magnoliahatch_core::verb::Answer;
-use magnoliahatch_core::verb::Role;
 use magnoliahatch_core::verb::Verb;
 
 use crate::model::Entry;
--- a/crates/core/tests/suspicion.rs
+++ b/crates/core/tests/suspicion.rs
@@ -22,8 +22,8 @@
     let member = |reachable| MemberView {
         reachable,
         term: TERM,
-        applied: 0,
         heard,
+        ..MemberView::default()
     };
     GroupView {
         term: TERM,
--- a/crates/daemon/src/bin/magnoliahatchd.rs
+++ b/crates/daemon/src/bin/magnoliahatchd.rs
@@ -79,7 +79,9 @@
             return exit::FAILURE;
         }
     };
-    if let Err(error) = Ready::new([("sql", daemon.sql()), ("admin", daemon.admin())]).print() {
+    let control = daemon.control().map(|address| ("control", address));
+    let sockets = [("sql", daemon.sql()), ("admin", daemon.admin())];
+    if let Err(error) = Ready::new(sockets.into_iter().chain(control)).print() {
         eprintln!("cannot print the ready line: {error}");
         return exit::FAILURE;
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,18 +6,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use magnoliahatch_client::admin::FleetStatus;
-use magnoliahatch_client::admin::HostReport;
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_client::objects::host_status::HostStatus;
 use magnoliahatch_client::store::StoreClient;
 use magnoliahatch_client::store_error::StoreError;
-use magnoliahatch_core::ids::Incarnation;
 use thiserror::Error;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use crate::admin::hooks::Hooks;
-use crate::admin::hooks::SwitchoverError;
 use crate::admin::server::AdminServer;
 use crate::admin::start_error::AdminStartError;
 use crate::config::announcer::Announcer;
@@ -30,7 +26,19 @@
 use crate::front::tls;
 use crate::front::tls::TlsError;
 use crate::limits::Limits;
+use crate::limits::link::LinkPeer;
+use crate::limits::link::link;
+use crate::mesh::Mesh;
+use crate::mesh::Reports;
+use crate::mesh::announcement::Announcement;
+use crate::mesh::event::MeshEvent;
+use crate::mesh::mesh_error::MeshError;
+use crate::mesh::settings::MeshSettings;
 use crate::metrics::Metrics;
+use crate::peers::announce;
+use crate::peers::exchange;
+use crate::peers::fleet::Fleet;
+use crate::report::Report;
 use crate::settings::Settings;
 
 /// Why the daemon cannot start.
@@ -48,6 +56,8 @@
     #[error("cannot start the control thread: {0}")]
     Control(io::Error),
     #[error(transparent)]
+    Mesh(#[from] MeshError),
+    #[error(transparent)]
     Admin(#[from] AdminStartError),
     #[error("cannot send metrics: {0}")]
     Metrics(io::Error),
@@ -57,64 +67,108 @@
 pub struct Daemon {
     admin: AdminServer,
     announcer: Announcer,
-    _config: ConfigHandle,
-    _control: Control,
+    context: Arc<Context>,
     listener: Listener,
+    mesh: Option<Mesh>,
     stop: watch::Sender<bool>,
     stop_timeout: Duration,
+    _config: Arc<ConfigHandle>,
+    /// Last, since the other parts' tasks run on it.
+    _control: Control,
 }
 
 /// Starts the daemon; its sockets are bound when this returns.
 pub async fn spawn(settings: Settings) -> Result<Daemon, StartError> {
     let start = Instant::now();
     let incarnation = rand::random();
+    let host = settings.host.clone();
     let store = StoreClient::open(&settings.store.url)?;
     let control = Control::spawn().map_err(StartError::Control)?;
-    let config = control.enter(|| ConfigHandle::spawn(store.clone()));
+    let config = Arc::new(control.enter(|| ConfigHandle::spawn(store.clone())));
     let views = config.subscribe();
-    let limits = Arc::<Limits>::default();
-    let directory = control.enter(|| Directory::spawn(views.clone(), Arc::clone(&limits), start));
-    let admin = {
-        let (listen, store, views) = (settings.listen.admin, store.clone(), views.clone());
-        let hooks = hooks(&settings.host, incarnation, views.clone());
-        control
-            .run(async move { AdminServer::bind(listen, store, views, hooks) })
-            .await?
+    let (limits_end, mesh_end) = link();
+    let limits = control.enter(|| {
+        let (host, store, views) = (host.clone(), store.clone(), views.clone());
+        Limits::spawn(host, incarnation, settings.limits, limits_end, store, views)
+    });
+    let announcement = watch::Sender::new(Announcement::default());
+    let mesh = control.enter(|| {
+        bind_mesh(
+            &settings,
+            incarnation,
+            mesh_end,
+            views.clone(),
+            &announcement,
+        )
+    })?;
+    let fleet = Fleet {
+        host: host.clone(),
+        incarnation,
+        start,
+        limits: limits.clone(),
+        reports: match &mesh {
+            Some((mesh, _)) => mesh.reports(),
+            None => watch::channel(Reports::new()).1,
+        },
     };
+    let directory = control.enter(|| Directory::spawn(views.clone(), fleet.clone()));
     let (stop, stopping) = watch::channel(false);
-    let stop_timeout = settings.stop_timeout();
     let acceptor = settings.tls.as_ref().map(tls::acceptor).transpose()?;
     let metrics = Metrics::open(settings.metrics.as_ref()).map_err(StartError::Metrics)?;
     let context = Arc::new(Context {
-        host: settings.host.clone(),
+        host: host.clone(),
         data_centre: settings.data_centre.clone(),
         config: views.clone(),
         limits,
-        directory,
+        directory: Arc::clone(&directory),
         metrics,
         stop: stopping,
         cancels: Cancels::default(),
     });
-    let address = settings.listen.sql;
-    let listener = Listener::spawn(address, acceptor, context)
-        .await
-        .map_err(|source| StartError::Bind { address, source })?;
+    let report = Report::new(
+        fleet,
+        Arc::clone(&context),
+        Arc::clone(&config),
+        mesh.as_ref().map(|(mesh, _)| mesh.clone()),
+    );
+    let admin = {
+        let (listen, store, views) = (settings.listen.admin, store.clone(), views.clone());
+        let bind = async move { AdminServer::bind(listen, store, views, report.hooks()) };
+        control.run(bind).await?
+    };
+    let listener = bind_sql(settings.listen.sql, acceptor, &context).await?;
+    let mesh = control.enter(|| {
+        announce::spawn(
+            announcement,
+            Arc::clone(&config),
+            directory,
+            Arc::clone(&context),
+        );
+        mesh.map(|(mesh, events)| {
+            exchange::spawn(Arc::clone(&config), mesh.clone(), events);
+            mesh
+        })
+    });
+    let advertised = settings.advertise.and_then(|advertise| advertise.control);
+    let bound = mesh.as_ref().map(Mesh::address);
     let status = HostStatus {
         incarnation,
         data_centre: settings.data_centre,
         sql: listener.address(),
         admin: admin.addr(),
-        control: settings.listen.control,
+        control: advertised.or(bound).unwrap_or(settings.listen.control),
     };
-    let announcer = control.enter(|| Announcer::spawn(store, views, settings.host, status));
+    let announcer = control.enter(|| Announcer::spawn(store, views, host, status));
     Ok(Daemon {
         admin,
         announcer,
-        _config: config,
-        _control: control,
+        context,
         listener,
+        mesh,
         stop,
-        stop_timeout,
+        stop_timeout: Duration::from_millis(settings.stop_timeout_ms),
+        _config: config,
+        _control: control,
     })
 }
 
@@ -129,10 +183,16 @@
         self.admin.addr()
     }
 
+    /// Address for messages of peers; none without certificates for them.
+    pub fn control(&self) -> Option<SocketAddr> {
+        self.mesh.as_ref().map(Mesh::address)
+    }
+
     /// Stops without interrupting requests; false if transactions were still open at the limit.
     pub async fn stop(self) -> bool {
         self.stop.send_replace(true);
         let complete = self.listener.join(self.stop_timeout).await;
+        self.context.limits.stop();
         if let Err(error) = self.announcer.withdraw().await {
             tracing::warn!(event = 209, %error, "host object not withdrawn");
         }
@@ -141,23 +201,48 @@
     }
 }
 
-fn hooks(host: &str, incarnation: Incarnation, views: watch::Receiver<Arc<ConfigView>>) -> Hooks {
-    let host = host.to_owned();
-    Hooks {
-        status: Arc::new(move || {
-            let revision = views.borrow().revision;
-            let report = HostReport {
-                incarnation,
-                revision,
-                vouched: true,
-                draining: false,
-            };
-            FleetStatus {
-                revision,
-                hosts: [(host.clone(), report)].into(),
-            }
-        }),
-        metrics: Arc::new(String::new),
-        switchover: Arc::new(|_, _| Box::pin(async { Err(SwitchoverError::TimedOut) })),
-    }
+async fn bind_sql(
+    address: SocketAddr,
+    acceptor: Option<tokio_rustls::TlsAcceptor>,
+    context: &Arc<Context>,
+) -> Result<Listener, StartError> {
+    Listener::spawn(address, acceptor, Arc::clone(context))
+        .await
+        .map_err(|source| StartError::Bind { address, source })
+}
+
+type BoundMesh = (Mesh, mpsc::Receiver<MeshEvent>);
+
+fn bind_mesh(
+    settings: &Settings,
+    incarnation: u64,
+    link: LinkPeer,
+    views: watch::Receiver<Arc<ConfigView>>,
+    announcement: &watch::Sender<Announcement>,
+) -> Result<Option<BoundMesh>, MeshError> {
+    let Some(tls) = &settings.control_tls else {
+        tokio::spawn(discard(link));
+        return Ok(None);
+    };
+    let mesh = MeshSettings {
+        listen: settings.listen.control,
+        certificate: tls.cert.clone(),
+        key: tls.key.clone(),
+        authority: tls.ca.clone(),
+    };
+    let host = settings.host.clone();
+    Mesh::bind(
+        &mesh,
+        host,
+        incarnation,
+        link,
+        views,
+        announcement.subscribe(),
+    )
+    .map(Some)
+}
+
+/// Takes the place of the mesh on a host without peers.
+async fn discard(mut link: LinkPeer) {
+    while link.input.recv().await.is_some() {}
 }
--- a/crates/daemon/src/databases/database.rs
+++ b/crates/daemon/src/databases/database.rs
@@ -1,6 +1,7 @@
 //! One database group in use.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -10,6 +11,7 @@
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_client::objects::member::Member;
+use magnoliahatch_core::election::Timing;
 use magnoliahatch_core::hold::Hold;
 use magnoliahatch_core::ids::DataCentreId;
 use magnoliahatch_core::ids::DatabaseId;
@@ -17,19 +19,27 @@
 use magnoliahatch_core::ids::Term;
 use magnoliahatch_core::route::Choice;
 use magnoliahatch_core::route::ReadNeed;
+use magnoliahatch_core::suspicion::Patience;
 use tokio::sync::watch;
 
 use crate::confirm::confirmer::Confirmer;
 use crate::confirm::freshness::Freshness;
-use crate::limits::Limits;
+use crate::election;
+use crate::election::Inputs;
 use crate::monitor;
 use crate::monitor::group::Group;
+use crate::peers::fleet::Fleet;
+use crate::peers::opinions;
 use crate::pool::member_pool::MemberPool;
+use crate::verbs::VerbError;
+use crate::verbs::Verbs;
 
 /// Statements of one database that may wait for a primary on one host.
 const HOLD_LIMIT: usize = 2048;
 /// Longest wait for a primary. A replacement takes at most 6 s.
 const HOLD_TIME: Duration = Duration::from_secs(8);
+/// Time for one verb of an election, with the connection that it opens.
+const VERB_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// One database group in use; its tasks end when it is dropped.
 #[derive(Debug)]
@@ -38,6 +48,7 @@
     pub group: Arc<Group>,
     pub confirmer: Confirmer,
     pub freshness: Freshness,
+    pub election: election::Handle,
     members: Vec<Member>,
     pools: BTreeMap<MemberId, Arc<MemberPool>>,
     hold: Mutex<Hold>,
@@ -48,18 +59,14 @@
 
 impl Database {
     /// Starts pools, monitors and watchers of a group.
-    pub fn spawn(
-        name: DatabaseId,
-        members: Vec<Member>,
-        limits: &Arc<Limits>,
-        start: Instant,
-    ) -> Arc<Self> {
+    pub fn spawn(name: DatabaseId, members: Vec<Member>, fleet: &Fleet) -> Arc<Self> {
         let alive = watch::Sender::new(());
+        let start = fleet.start;
         let group = Arc::new(Group::new(start));
         let pools: BTreeMap<_, _> = members
             .iter()
             .map(|member| {
-                let limits = Arc::clone(limits);
+                let limits = fleet.limits.clone();
                 let id = member.name.clone();
                 let pool = MemberPool::spawn(name.clone(), id, member.address, limits);
                 (member.name.clone(), pool)
@@ -78,12 +85,14 @@
             Arc::clone(&group),
             alive.subscribe(),
         );
+        let election = election(&name, &members, &addresses, &group, fleet);
         let freshness = Freshness::spawn(name.clone(), addresses, Arc::clone(&group));
         Arc::new(Self {
             name,
             group,
             confirmer,
             freshness,
+            election,
             members,
             pools,
             hold: Mutex::new(Hold::new(HOLD_LIMIT, HOLD_TIME)),
@@ -147,6 +156,43 @@
     }
 }
 
+/// Starts the task that replaces a failed primary.
+fn election(
+    name: &DatabaseId,
+    members: &[Member],
+    addresses: &BTreeMap<MemberId, SocketAddr>,
+    group: &Group,
+    fleet: &Fleet,
+) -> election::Handle {
+    let peer_address = |member: &Member| member.peer_address.unwrap_or(member.address);
+    let reached: BTreeMap<_, _> = members
+        .iter()
+        .map(|member| (member.name.clone(), peer_address(member)))
+        .collect();
+    let (database, addresses) = (name.clone(), addresses.clone());
+    election::spawn(Inputs {
+        database: name.clone(),
+        host: fleet.host.clone(),
+        incarnation: fleet.incarnation,
+        members: reached,
+        start: fleet.start,
+        view: group.subscribe(),
+        peers: opinions::spawn(fleet.clone(), name.clone()),
+        call: Arc::new(move |member, sql| {
+            let address = addresses.get(&member).copied();
+            let database = database.clone();
+            Box::pin(async move {
+                let address = address.ok_or(VerbError::Answer("unknown member"))?;
+                let deadline = Instant::now() + VERB_TIMEOUT;
+                let mut verbs = Verbs::open(address, &database, deadline).await?;
+                Ok(verbs.call(&sql, deadline).await?)
+            })
+        }),
+        patience: Patience::default(),
+        timing: Timing::default(),
+    })
+}
+
 /// Place of one statement in the hold.
 struct Waiting<'a> {
     database: &'a Database,
--- a/crates/daemon/src/databases/directory.rs
+++ b/crates/daemon/src/databases/directory.rs
@@ -3,34 +3,27 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::RwLock;
-use std::time::Instant;
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_core::ids::DatabaseId;
 use tokio::sync::watch;
 
 use crate::databases::database::Database;
-use crate::limits::Limits;
+use crate::peers::fleet::Fleet;
 
 /// All database groups of the configuration, kept current.
 #[derive(Debug)]
 pub struct Directory {
     databases: RwLock<BTreeMap<DatabaseId, Arc<Database>>>,
-    limits: Arc<Limits>,
-    start: Instant,
+    fleet: Fleet,
 }
 
 impl Directory {
     /// Follows the configuration until its channel closes.
-    pub fn spawn(
-        mut config: watch::Receiver<Arc<ConfigView>>,
-        limits: Arc<Limits>,
-        start: Instant,
-    ) -> Arc<Self> {
+    pub fn spawn(mut config: watch::Receiver<Arc<ConfigView>>, fleet: Fleet) -> Arc<Self> {
         let directory = Arc::new(Self {
             databases: RwLock::default(),
-            limits,
-            start,
+            fleet,
         });
         directory.update(&config.borrow_and_update());
         let weak = Arc::downgrade(&directory);
@@ -74,12 +67,7 @@
         });
         for (name, wanted) in &view.databases {
             databases.entry(name.clone()).or_insert_with(|| {
-                Database::spawn(
-                    name.clone(),
-                    wanted.members.clone(),
-                    &self.limits,
-                    self.start,
-                )
+                Database::spawn(name.clone(), wanted.members.clone(), &self.fleet)
             });
         }
     }
--- a/crates/daemon/src/election/row.rs
+++ b/crates/daemon/src/election/row.rs
@@ -7,7 +7,6 @@
 use magnoliahatch_core::verb::Answer;
 use magnoliahatch_core::verb::LogEnd;
 use magnoliahatch_core::verb::MemberStatus;
-use magnoliahatch_core::verb::Role;
 use magnoliahatch_core::verb::Verb;
 use thiserror::Error;
 
@@ -59,14 +58,11 @@
 
 /// Reads the row of a status call.
 pub fn status(row: &[String]) -> Result<MemberStatus, RowError> {
-    let role = match text(row, 1) {
-        "primary" => Role::Primary,
-        "replica" => Role::Replica,
-        "fenced" => Role::Fenced,
-        found => return Err(error(1, found, "primary, replica or fenced")),
-    };
+    let found = text(row, 1);
     Ok(MemberStatus {
-        role,
+        role: found
+            .parse()
+            .map_err(|_| error(1, found, "primary, replica or fenced"))?,
         term: number(row, 2)?,
         end: LogEnd {
             last_term: number(row, 3)?,
--- a/crates/daemon/src/front/context.rs
+++ b/crates/daemon/src/front/context.rs
@@ -18,7 +18,7 @@
     pub host: HostId,
     pub data_centre: DataCentreId,
     pub config: watch::Receiver<Arc<ConfigView>>,
-    pub limits: Arc<Limits>,
+    pub limits: Limits,
     pub directory: Arc<Directory>,
     pub metrics: Metrics,
     /// True once a planned stop began.
--- a/crates/daemon/src/front/execute.rs
+++ b/crates/daemon/src/front/execute.rs
@@ -84,7 +84,7 @@
         let classes = work.classes();
         let ends = |class: &Class| matches!(class, Class::Commit | Class::Rollback);
         if work.executes() && !classes.iter().all(ends) {
-            let limits = Arc::clone(&self.context.limits);
+            let limits = &self.context.limits;
             limits.admit(&self.identity.organisation, deadline).await?;
         }
         let database = self.context.directory.get(&self.identity.database);
--- a/crates/daemon/src/front/relay.rs
+++ b/crates/daemon/src/front/relay.rs
@@ -29,6 +29,8 @@
     Endpoint(FrameError),
     #[error("the endpoint ended the connection")]
     Closed,
+    #[error("the host lost its share of the member's connections")]
+    Revoked,
     #[error("no answer within the deadline")]
     Timeout,
     #[error("the endpoint answered out of order")]
@@ -124,6 +126,7 @@
     ) -> Result<Option<TxStatus>, RelayError> {
         let mut silent = lease.pool().silent();
         let sent = Instant::now();
+        let mut revoked = std::pin::pin!(lease.revocation());
         loop {
             self.answer_locally(client).await?;
             if !to_ready && (self.steps.is_empty() || self.error.is_some()) {
@@ -132,6 +135,7 @@
             let frame = tokio::select! {
                 biased;
                 frame = receive(lease.connection(), self.deadline) => frame?,
+                () = &mut revoked => return Err(RelayError::Revoked),
                 changed = silent.changed() => {
                     let since = *silent.borrow_and_update();
                     let heard = lease.connection().heard;
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -175,8 +175,25 @@
                 None => std::future::pending().await,
             }
         };
+        let revocation = self.lease.as_ref().map(Lease::revocation);
+        let revoked = async move {
+            match revocation {
+                Some(revoked) => revoked.await,
+                None => std::future::pending().await,
+            }
+        };
         let frame = tokio::select! {
             biased;
+            () = revoked => {
+                // Dropping the lease closes the connection, at which the member rolls back.
+                self.lease = None;
+                self.state.on_lost();
+                self.portals.clear();
+                self.unsynced = false;
+                self.given_up = true;
+                self.postponed = Some(Refusal::LostTransaction);
+                return Ok(());
+            }
             frame = self.client.receive() => frame,
             changed = self.config.changed() => {
                 return changed.map_err(|_| End::Fatal(Refusal::Draining));
--- a/crates/daemon/src/limits/connection_permit.rs
+++ b/crates/daemon/src/limits/connection_permit.rs
@@ -25,6 +25,11 @@
         self.revoked.cancelled().await;
     }
 
+    /// Cancelled when `revoked` completes.
+    pub fn token(&self) -> CancellationToken {
+        self.revoked.clone()
+    }
+
     pub fn is_revoked(&self) -> bool {
         self.revoked.is_cancelled()
     }
--- a/crates/daemon/src/limits/mod.rs
+++ b/crates/daemon/src/limits/mod.rs
@@ -12,4 +12,6 @@
 mod shared;
 mod table;
 
+pub use connection_permit::ConnectionPermit;
 pub use handle::Limits;
+pub use limit_error::LimitError;
--- a/crates/daemon/src/mesh/event.rs
+++ b/crates/daemon/src/mesh/event.rs
@@ -1,6 +1,6 @@
 //! Configuration messages, for the part that keeps the configuration view.
 
-use magnoliahatch_client::objects::change_list::ChangeList;
+use magnoliahatch_client::config_patch::ConfigPatch;
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::Revision;
 
@@ -16,6 +16,6 @@
     ConfigPush {
         from: HostId,
         request: u64,
-        changes: ChangeList,
+        changes: ConfigPatch,
     },
 }
--- a/crates/daemon/src/mesh/frame.rs
+++ b/crates/daemon/src/mesh/frame.rs
@@ -29,7 +29,9 @@
     LoanRequest(Vec<(LimitId, LoanRequest)>),
     LoanGrant(Vec<(LimitId, LoanGrant)>),
     ConfigPull(Revision),
-    /// A change list as JSON: the objects' values have no fixed shape, which postcard needs.
+    /// Sent between heartbeats when an opinion changes, since an election waits for opinions.
+    Announce(Announcement),
+    /// A configuration patch as JSON: the objects' values have no fixed shape, which postcard needs.
     ConfigPush(String),
 }
 
--- a/crates/daemon/src/mesh/handle.rs
+++ b/crates/daemon/src/mesh/handle.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use magnoliahatch_client::config_patch::ConfigPatch;
 use magnoliahatch_client::config_view::ConfigView;
-use magnoliahatch_client::objects::change_list::ChangeList;
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::Revision;
@@ -35,7 +35,8 @@
 /// Frames that may wait for the mesh's own task.
 const DEPTH: usize = 1024;
 
-type Reports = BTreeMap<HostId, PeerReport>;
+/// Last announcement of each peer.
+pub type Reports = BTreeMap<HostId, PeerReport>;
 
 /// Handle to the mesh. The task ends when the limits' link or the configuration channel closes.
 #[derive(Debug, Clone)]
@@ -116,7 +117,7 @@
     }
 
     /// Sends changes to a peer, as the answer to a pull or unasked with request 0.
-    pub fn push(&self, to: &HostId, request: u64, changes: &ChangeList) {
+    pub fn push(&self, to: &HostId, request: u64, changes: &ConfigPatch) {
         match serde_json::to_string(changes) {
             Ok(text) => self.request(to, request, Body::ConfigPush(text)),
             Err(error) => warn!(event = 314, %error, "configuration changes cannot be sent"),
@@ -135,11 +136,12 @@
         mut self,
         mut link: LinkPeer,
         mut config: watch::Receiver<Arc<ConfigView>>,
-        announcement: watch::Receiver<Announcement>,
+        mut announcement: watch::Receiver<Announcement>,
         mut frames: mpsc::Receiver<Frame>,
         mut requests: mpsc::Receiver<(HostId, u64, Body)>,
     ) {
         self.set_peers(&config.borrow_and_update().clone());
+        let mut opinions = announcement.borrow_and_update().opinions.clone();
         loop {
             tokio::select! {
                 frame = frames.recv() => match frame {
@@ -154,6 +156,15 @@
                     None => break,
                 },
                 Some((to, request, body)) = requests.recv() => self.send(&to, request, body),
+                Ok(()) = announcement.changed() => {
+                    let announcement = announcement.borrow_and_update().clone();
+                    if announcement.opinions != opinions {
+                        opinions = announcement.opinions.clone();
+                        for peer in self.peers.keys() {
+                            self.send(peer, 0, Body::Announce(announcement.clone()));
+                        }
+                    }
+                }
                 changed = config.changed() => {
                     if changed.is_err() {
                         break;
@@ -209,16 +220,13 @@
         } = frame;
         let message = match body {
             Body::Heartbeat(heartbeat, announcement) => {
-                let report = PeerReport {
-                    incarnation,
-                    heard: Instant::now(),
-                    announcement,
-                };
-                self.reports.send_modify(|reports| {
-                    reports.insert(sender.clone(), report);
-                });
+                self.report(&sender, incarnation, announcement);
                 Message::Heartbeat(heartbeat)
             }
+            Body::Announce(announcement) => {
+                self.report(&sender, incarnation, announcement);
+                return;
+            }
             Body::Seats(table) => Message::Seats(table),
             Body::LoanPool(requests) => Message::LoanPool(requests),
             Body::LoanOffer(grants) => Message::LoanOffer(grants),
@@ -257,6 +265,17 @@
         }
     }
 
+    fn report(&self, sender: &HostId, incarnation: Incarnation, announcement: Announcement) {
+        let report = PeerReport {
+            incarnation,
+            heard: Instant::now(),
+            announcement,
+        };
+        self.reports.send_modify(|reports| {
+            reports.insert(sender.clone(), report);
+        });
+    }
+
     fn raise(&self, event: MeshEvent) {
         if self.events.try_send(event).is_err() {
             self.stats.on_dropped();
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -13,3 +13,4 @@
 mod tls;
 
 pub use handle::Mesh;
+pub use handle::Reports;
--- a/crates/daemon/src/pool/lease.rs
+++ b/crates/daemon/src/pool/lease.rs
@@ -14,7 +14,7 @@
 pub struct Lease {
     pool: Arc<MemberPool>,
     connection: Option<Connection>,
-    _permit: ConnectionPermit,
+    permit: ConnectionPermit,
 }
 
 impl Lease {
@@ -26,7 +26,7 @@
         Self {
             pool,
             connection: Some(connection),
-            _permit: permit,
+            permit,
         }
     }
 
@@ -40,6 +40,16 @@
             .expect("only give_back and drop take the connection")
     }
 
+    /// Completes when the connection must be closed at once, since the share that allowed it ends.
+    pub async fn revoked(&self) {
+        self.permit.revoked().await;
+    }
+
+    /// The future of `revoked` without a borrow of the lease.
+    pub(crate) fn revocation(&self) -> impl Future<Output = ()> + use<> {
+        self.permit.token().cancelled_owned()
+    }
+
     /// Returns the connection to the pool if it may serve another session.
     pub fn give_back(mut self, status: TxStatus) {
         if let Some(connection) = self.connection.take_if(|c| c.link.reusable(status)) {
--- a/crates/daemon/src/pool/member_pool.rs
+++ b/crates/daemon/src/pool/member_pool.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,8 +15,10 @@
 use crate::limits::Limits;
 use crate::pool::connection::Connection;
 use crate::pool::lease::Lease;
+use crate::pool::open_count::OpenCount;
 use crate::pool::open_error::OpenError;
 use crate::pool::open_slot::OpenSlot;
+use crate::verbs::Verbs;
 
 /// User of data connections.
 const DATA_USER: &str = "proxy";
@@ -44,10 +44,10 @@
     pub database: DatabaseId,
     pub member: MemberId,
     pub address: SocketAddr,
-    limits: Arc<Limits>,
+    limits: Limits,
     state: Mutex<State>,
     /// Open connections, busy or idle.
-    open: Arc<AtomicU32>,
+    open: Arc<OpenCount>,
     /// Connections that were last heard before this moment are considered silent.
     silent: watch::Sender<Option<Instant>>,
 }
@@ -64,10 +64,11 @@
         database: DatabaseId,
         member: MemberId,
         address: SocketAddr,
-        limits: Arc<Limits>,
+        limits: Limits,
     ) -> Arc<Self> {
         let mut allowance = limits.allowance(&database, &member);
         let first = *allowance.borrow_and_update();
+        let open = OpenCount::new(limits.clone(), database.clone(), member.clone());
         let pool = Arc::new(Self {
             database,
             member,
@@ -77,7 +78,7 @@
                 allowance: first,
                 ..State::default()
             }),
-            open: Arc::default(),
+            open,
             silent: watch::Sender::new(None),
         });
         let weak = Arc::downgrade(&pool);
@@ -113,7 +114,7 @@
                 Err(_) => self.on_silence(asked),
             }
         }
-        let slot = OpenSlot::new(&self.open);
+        let slot = self.reserve(deadline).await?;
         let limit = deadline.min(Instant::now() + OPEN_TIMEOUT);
         let mut connection =
             Connection::open(self.address, DATA_USER, &self.database, limit).await?;
@@ -121,13 +122,35 @@
         Ok(Lease::new(Arc::clone(self), connection, permit))
     }
 
+    /// Waits until one more connection may be opened. A permit is normally enough; a connection
+    /// that is just being closed still counts.
+    async fn reserve(&self, deadline: Instant) -> Result<OpenSlot, LeaseError> {
+        loop {
+            let freed = self.open.freed();
+            if let Some(slot) = self.open.reserve() {
+                return Ok(slot);
+            }
+            if tokio::time::timeout_at(deadline.into(), freed)
+                .await
+                .is_err()
+            {
+                return Err(LeaseError::Limit(LimitError::Queue {
+                    database: self.database.clone(),
+                    member: self.member.clone(),
+                    wait: Duration::ZERO,
+                }));
+            }
+        }
+    }
+
     /// A connection did not answer a request that was sent at `sent`. If a new connection works,
     /// every connection that was not heard since is retired.
     pub fn on_silence(self: &Arc<Self>, sent: Instant) {
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             let limit = Instant::now() + OPEN_TIMEOUT;
-            let probe = Connection::open(pool.address, DATA_USER, &pool.database, limit).await;
+            // A control connection, since the limit may leave no room for a data connection.
+            let probe = Verbs::open(pool.address, &pool.database, limit).await;
             if probe.is_ok() {
                 tracing::warn!(
                     event = 210,
@@ -163,7 +186,7 @@
 
     /// Number of open connections, busy or idle.
     pub fn open_connections(&self) -> u32 {
-        self.open.load(Ordering::Relaxed)
+        self.open.count()
     }
 
     fn set_allowance(&self, allowance: u32) {
--- /dev/null
+++ b/crates/daemon/src/pool/open_count.rs
@@ -0,0 +1,69 @@
+//! Count of a pool's open connections, kept within the host's allowance.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::MemberId;
+use tokio::sync::Notify;
+
+use crate::limits::Limits;
+use crate::pool::open_slot::OpenSlot;
+
+/// Open connections to one member. Every change is reported to the limits, which lend only what
+/// is not open.
+#[derive(Debug)]
+pub(crate) struct OpenCount {
+    limits: Limits,
+    database: DatabaseId,
+    member: MemberId,
+    open: Mutex<u32>,
+    freed: Notify,
+}
+
+impl OpenCount {
+    pub(crate) fn new(limits: Limits, database: DatabaseId, member: MemberId) -> Arc<Self> {
+        Arc::new(Self {
+            limits,
+            database,
+            member,
+            open: Mutex::new(0),
+            freed: Notify::new(),
+        })
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        *self.lock()
+    }
+
+    /// Counts one more connection; none if the allowance does not cover it.
+    pub(crate) fn reserve(self: &Arc<Self>) -> Option<OpenSlot> {
+        let mut open = self.lock();
+        let accepted = self
+            .limits
+            .report_open(&self.database, &self.member, *open + 1);
+        if !accepted {
+            return None;
+        }
+        *open += 1;
+        Some(OpenSlot::new(Arc::clone(self)))
+    }
+
+    /// Completes when a connection was closed after this call.
+    pub(crate) fn freed(&self) -> impl Future<Output = ()> {
+        self.freed.notified()
+    }
+
+    pub(crate) fn release(&self) {
+        let mut open = self.lock();
+        *open -= 1;
+        self.limits.report_open(&self.database, &self.member, *open);
+        drop(open);
+        self.freed.notify_waiters();
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, u32> {
+        self.open.lock().expect("no holder of this lock panics")
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/report.rs
@@ -0,0 +1,151 @@
+//! What the administration API reports of this host and its peers.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use magnoliahatch_client::admin::FleetStatus;
+use magnoliahatch_client::admin::HostReport;
+use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
+use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
+use magnoliahatch_core::ids::DatabaseId;
+
+use crate::admin::hooks::Hooks;
+use crate::admin::hooks::SwitchoverError;
+use crate::config::handle::ConfigHandle;
+use crate::control::Control;
+use crate::election::Command;
+use crate::front::context::Context;
+use crate::mesh::Mesh;
+use crate::peers::fleet::Fleet;
+
+/// Age after which a peer's announcement is not taken for its state.
+const REPORT_AGE: Duration = Duration::from_secs(4);
+/// Longest time for a planned change of primary.
+const SWITCHOVER_LIMIT: Duration = Duration::from_secs(6);
+
+/// Sources of the reports.
+#[derive(Debug, Clone)]
+pub struct Report {
+    fleet: Fleet,
+    context: Arc<Context>,
+    config: Arc<ConfigHandle>,
+    mesh: Option<Mesh>,
+}
+
+impl Report {
+    pub fn new(
+        fleet: Fleet,
+        context: Arc<Context>,
+        config: Arc<ConfigHandle>,
+        mesh: Option<Mesh>,
+    ) -> Self {
+        Self {
+            fleet,
+            context,
+            config,
+            mesh,
+        }
+    }
+
+    /// Functions for the administration API.
+    pub fn hooks(&self) -> Hooks {
+        let (status, metrics, switchover) = (self.clone(), self.clone(), self.clone());
+        Hooks {
+            status: Arc::new(move || status.status()),
+            metrics: Arc::new(move || metrics.metrics()),
+            switchover: Arc::new(move |database, order| {
+                let report = switchover.clone();
+                Box::pin(async move { report.switchover(database, order).await })
+            }),
+        }
+    }
+
+    fn status(&self) -> FleetStatus {
+        let revision = self.config.view().revision;
+        let (vouched, _) = self.fleet.limits.seat();
+        let own = HostReport {
+            incarnation: self.fleet.incarnation,
+            revision,
+            vouched,
+            draining: self.context.is_draining(),
+        };
+        let reports = self.fleet.reports.borrow();
+        let peers = reports.iter().map(|(host, report)| {
+            let announcement = &report.announcement;
+            let report = HostReport {
+                incarnation: report.incarnation,
+                revision: announcement.revision,
+                vouched: report.heard.elapsed() < REPORT_AGE,
+                draining: announcement.draining,
+            };
+            (host.clone(), report)
+        });
+        FleetStatus {
+            revision,
+            hosts: peers.chain([(self.fleet.host.clone(), own)]).collect(),
+        }
+    }
+
+    /// Counters of the control tasks, one `name value` per line.
+    fn metrics(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u128| {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "{name} {value}");
+        };
+        line("uptime_us", self.fleet.start.elapsed().as_micros());
+        if let Some(cpu) = Control::cpu() {
+            line("control_cpu_us", cpu.as_micros());
+        }
+        if let Some(resident) = Control::resident() {
+            line("resident_bytes", resident.into());
+        }
+        line("limits_busy_us", self.fleet.limits.busy().as_micros());
+        if let Some(mesh) = &self.mesh {
+            let stats = mesh.stats().snapshot();
+            line("mesh_sent_frames", stats.sent.into());
+            line("mesh_sent_bytes", stats.sent_bytes.into());
+            line("mesh_wire_bytes", stats.wire_bytes.into());
+            line("mesh_received_frames", stats.received.into());
+            line("mesh_received_bytes", stats.received_bytes.into());
+            line("mesh_dropped_frames", stats.dropped.into());
+            line("mesh_refused_frames", stats.refused.into());
+        }
+        for database in self.context.directory.all() {
+            let name = &database.name;
+            line(
+                &format!("waiting_for_primary{{{name}}}"),
+                database.waiting() as u128,
+            );
+        }
+        text
+    }
+
+    async fn switchover(
+        &self,
+        database: DatabaseId,
+        order: SwitchoverOrder,
+    ) -> Result<SwitchoverDone, SwitchoverError> {
+        let Some(group) = self.context.directory.get(&database) else {
+            return Err(SwitchoverError::NoMajority);
+        };
+        let mut elected = group.election.elected.clone();
+        elected.mark_unchanged();
+        let command = Command::Switchover {
+            preferred: order.member,
+        };
+        if group.election.commands.send(command).await.is_err() {
+            return Err(SwitchoverError::TimedOut);
+        }
+        let changed = tokio::time::timeout(SWITCHOVER_LIMIT, elected.changed()).await;
+        let elected = elected.borrow_and_update().clone();
+        match (changed, elected) {
+            (Ok(Ok(())), Some(done)) => Ok(SwitchoverDone {
+                member: done.member,
+                term: done.term,
+            }),
+            _ => Err(SwitchoverError::TimedOut),
+        }
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,8 @@
 use magnoliahatch_core::ids::HostId;
 use serde::Deserialize;
 
+use crate::limits::settings::LimitSettings;
+
 /// Contents of the settings file.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,8 +22,13 @@
     pub store: Store,
     /// Certificate for callers; without it callers connect without TLS.
     pub tls: Option<Tls>,
-    /// Certificates for the messages between daemons.
+    /// Certificates for the messages between daemons; without them the host has no peers, which
+    /// suits only a fleet of one host.
     pub control_tls: Option<ControlTls>,
+    /// Where peers reach the control socket, if not at the bound address.
+    pub advertise: Option<Advertise>,
+    #[serde(default)]
+    pub limits: LimitSettings,
     #[serde(default)]
     pub log: Log,
     pub metrics: Option<Metrics>,
@@ -39,6 +46,13 @@
     pub control: SocketAddr,
 }
 
+/// Addresses at which others reach this host, where they differ from the bound ones.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Advertise {
+    pub control: Option<SocketAddr>,
+}
+
 /// The platform's object store.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/daemon/src/verbs.rs
+++ b/crates/daemon/src/verbs.rs
@@ -39,15 +39,6 @@
     pub confirmed: LogIndex,
 }
 
-/// Answer to `platform_fence`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Fenced {
-    pub granted: bool,
-    pub term: Term,
-    pub last_term: Term,
-    pub received: LogIndex,
-}
-
 /// Control connection to one member.
 #[derive(Debug)]
 pub struct Verbs {
@@ -92,52 +83,9 @@
             .ok_or(VerbError::Answer("platform_wait"))
     }
 
-    /// Asks the member to grant a term to a candidate.
-    pub async fn fence(
-        &mut self,
-        term: Term,
-        candidate: &str,
-        deadline: Instant,
-    ) -> Result<Fenced, VerbError> {
-        let candidate = quote(candidate);
-        let sql = format!("SELECT * FROM platform_fence({term}, {candidate})");
-        let row = self.row(&sql, deadline).await?;
-        let read = || {
-            Some(Fenced {
-                granted: flag(&row, 0)?,
-                term: number(&row, 1)?,
-                last_term: number(&row, 2)?,
-                received: number(&row, 3)?,
-            })
-        };
-        read().ok_or(VerbError::Answer("platform_fence"))
-    }
-
-    /// Makes the member the primary of a term that it granted to itself.
-    pub async fn promote(
-        &mut self,
-        term: Term,
-        candidate: &str,
-        deadline: Instant,
-    ) -> Result<bool, VerbError> {
-        let candidate = quote(candidate);
-        let sql = format!("SELECT * FROM platform_promote({term}, {candidate})");
-        let row = self.row(&sql, deadline).await?;
-        flag(&row, 0).ok_or(VerbError::Answer("platform_promote"))
-    }
-
-    /// Makes the member follow the primary at an address.
-    pub async fn follow(
-        &mut self,
-        term: Term,
-        candidate: &str,
-        address: SocketAddr,
-        deadline: Instant,
-    ) -> Result<bool, VerbError> {
-        let candidate = quote(candidate);
-        let sql = format!("SELECT * FROM platform_follow({term}, {candidate}, '{address}')");
-        let row = self.row(&sql, deadline).await?;
-        flag(&row, 0).ok_or(VerbError::Answer("platform_follow"))
+    /// Calls a verb by its SQL text and returns the columns of its one row.
+    pub async fn call(&mut self, sql: &str, deadline: Instant) -> Result<Vec<String>, VerbError> {
+        self.row(sql, deadline).await
     }
 
     async fn row(&mut self, sql: &str, deadline: Instant) -> Result<Vec<String>, VerbError> {
@@ -165,15 +113,3 @@
 fn number(row: &[String], column: usize) -> Option<u64> {
     row.get(column)?.parse().ok()
 }
-
-fn flag(row: &[String], column: usize) -> Option<bool> {
-    match row.get(column)?.as_str() {
-        "t" | "true" => Some(true),
-        "f" | "false" => Some(false),
-        _ => None,
-    }
-}
-
-fn quote(text: &str) -> String {
-    format!("'{}'", text.replace('\'', "''"))
-}
--- a/crates/daemon/tests/mesh.rs
+++ b/crates/daemon/tests/mesh.rs
@@ -13,9 +13,9 @@
 use limits_support::node::addresses;
 use limits_support::store::Store;
 use limits_support::until;
-use magnoliahatch_client::objects::change_list::ChangeList;
+use magnoliahatch_client::config_patch::ConfigPatch;
+use magnoliahatch_core::suspicion::Opinion;
 use magnoliahatch_daemon::limits::settings::LimitSettings;
-use magnoliahatch_daemon::mesh::announcement::Suspect;
 use magnoliahatch_daemon::mesh::event::MeshEvent;
 use magnoliahatch_daemon::mesh::frame::Body;
 use magnoliahatch_daemon::mesh::frame::Frame;
@@ -69,12 +69,12 @@
     certificates::write(tls.path(), &["host-0".into(), "host-1".into()]);
     let store = Store::bind().await;
     let [mut first, mut second] = pair(&tls, &store);
-    let suspect = Suspect {
-        database: "db".into(),
+    let opinion = Opinion {
         term: 4,
+        reachable: false,
     };
     first.parts.announcement.send_modify(|a| {
-        a.suspects.push(suspect.clone());
+        a.opinions.insert("db".into(), opinion);
         a.draining = true;
         a.revision = 12;
     });
@@ -82,8 +82,9 @@
         let reports = second.parts.mesh.reports();
         let reports = reports.borrow();
         let announcement = reports.get("host-0").map(|r| r.announcement.clone());
-        announcement
-            .is_some_and(|a| a.suspects == [suspect.clone()] && a.draining && a.revision == 12)
+        announcement.is_some_and(|a| {
+            a.opinions.get("db") == Some(&opinion) && a.draining && a.revision == 12
+        })
     })
     .await;
     until("both sides are heard", || heard(&first, "host-1")).await;
@@ -103,8 +104,10 @@
     );
     // Larger than one datagram.
     let text = "x".repeat(100_000);
-    let changes = ChangeList {
+    let changes = ConfigPatch {
+        after: 11,
         revision: 12,
+        kinds: Vec::new(),
         changes: vec![change("contract", "org", 12, text.into())],
     };
     first.parts.mesh.push(&from, 5, &changes);
