Test the stand-in's replication under changes of primary

A connection that opened while the applied state was rebuilt could create an empty file under the old name; it now waits for the rebuild. The new test changes the primary six times under four writers while the old primary writes on alone, and compares the members.

--- a/crates/bench/src/member/storage.rs
+++ b/crates/bench/src/member/storage.rs
@@ -26,6 +26,8 @@
 
 /// Opens the current generation of the applied state.
 pub(crate) fn open(shared: &Shared) -> Result<(Connection, u64), SqlError> {
+    // A rebuild replaces the file while it holds the group's lock.
+    let _group = shared.group();
     let generation = shared.generation.load(Ordering::Acquire);
     Ok((connect(&shared.dir, generation)?, generation))
 }
--- a/crates/bench/tests/member/main.rs
+++ b/crates/bench/tests/member/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod group;
+mod load;
 mod sql;
 mod support;
 mod transactions;
