Grant a term learnt from platform_follow to nobody

A member that learnt a term by being told to follow its primary recorded the caller as the candidate and would have reported a grant to it. The repair now also notes the terms it sees, so that this daemon never fences a term that has been used. Adds tests of the text of calls and answers, and one of three changes of primary in a row with nine daemons.

--- a/crates/bench/src/member/group.rs
+++ b/crates/bench/src/member/group.rs
@@ -27,6 +27,7 @@
     pub(crate) role: Role,
     /// Highest term that this member has granted or taken part in.
     pub(crate) term: Term,
+    /// To whom it was granted; empty if it was learnt from `platform_follow`.
     pub(crate) candidate: String,
     /// Where a replica pulls from.
     pub(crate) upstream: Option<SocketAddr>,
@@ -141,7 +142,7 @@
     /// Grants a term at most once, to one candidate.
     pub(crate) fn fence(&mut self, term: Term, candidate: &str) -> std::io::Result<bool> {
         if term == self.durable.term {
-            return Ok(candidate == self.durable.candidate);
+            return Ok(!candidate.is_empty() && candidate == self.durable.candidate);
         }
         if term < self.durable.term {
             return Ok(false);
@@ -174,18 +175,14 @@
 
     /// Follows the primary of a term. Any caller may point a member at the primary of the term
     /// that it has granted: the pull succeeds only at the one member promoted in that term.
-    pub(crate) fn follow(
-        &mut self,
-        term: Term,
-        candidate: &str,
-        address: SocketAddr,
-    ) -> std::io::Result<bool> {
+    pub(crate) fn follow(&mut self, term: Term, address: SocketAddr) -> std::io::Result<bool> {
         if term < self.durable.term || self.leads(term) {
             return Ok(false);
         }
         if term > self.durable.term {
+            // Taking part in a term grants it to nobody.
             self.durable.term = term;
-            self.durable.candidate = candidate.to_owned();
+            self.durable.candidate.clear();
             self.followers.clear();
         }
         self.durable.role = Role::Replica;
--- a/crates/bench/src/member/infer.rs
+++ b/crates/bench/src/member/infer.rs
@@ -71,7 +71,7 @@
         let close = closing(tokens, open)?;
         if at > open && at < close {
             let number = commas(&tokens[open + 1..at]);
-            if tokens[into + 2] != Token::LParen {
+            if tokens.get(into + 2) != Some(&Token::LParen) {
                 return columns.get(number).map(|(_, kind)| kind.clone());
             }
             // Names and commas alternate after the opening parenthesis.
--- a/crates/bench/src/member/verbs.rs
+++ b/crates/bench/src/member/verbs.rs
@@ -105,10 +105,9 @@
             })
         }
         "platform_follow" => {
-            let (term, candidate) = (args.number(0)?, args.text(1)?);
-            let address = args.text(2)?;
+            let (term, address) = (args.number(0)?, args.text(2)?);
             let address = address.parse().map_err(|_| wrong(2, "host:port"))?;
-            let ok = shared.change(|group| group.follow(term, &candidate, address))?;
+            let ok = shared.change(|group| group.follow(term, address))?;
             Ok(row([&ok]))
         }
         "platform_wait" => wait(shared, args.number(0)?, args.number(1)?, args.number(2)?).await,
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -245,8 +245,9 @@
     }
 
     /// Points members at the primary that have not been told of it, or have missed its election.
-    pub fn repair(&self, statuses: &BTreeMap<MemberId, MemberStatus>) -> Vec<Action> {
+    pub fn repair(&mut self, statuses: &BTreeMap<MemberId, MemberStatus>) -> Vec<Action> {
         let term = statuses.values().map(|s| s.term).max().unwrap_or(0);
+        self.on_term(term);
         let leads = |s: &MemberStatus| s.role == Role::Primary && s.term == term;
         let Some((primary, _)) = statuses.iter().find(|(_, s)| leads(s)) else {
             return Vec::new();
--- a/crates/core/tests/election/model.rs
+++ b/crates/core/tests/election/model.rs
@@ -103,13 +103,13 @@
         }
     }
 
-    pub(crate) fn follow(&mut self, term: Term, candidate: &str, upstream: usize) -> Answer {
+    pub(crate) fn follow(&mut self, term: Term, upstream: usize) -> Answer {
         let leads = self.role == Role::Primary && self.term == term;
         let ok = term >= self.term && !leads;
         if ok {
             if term > self.term {
                 self.term = term;
-                self.candidate = candidate.to_owned();
+                self.candidate.clear();
                 self.followers.clear();
             }
             self.role = Role::Replica;
--- a/crates/core/tests/election/world.rs
+++ b/crates/core/tests/election/world.rs
@@ -291,7 +291,7 @@
         let answer = match &call.verb {
             Verb::Fence => member.fence(call.term, &candidate),
             Verb::Promote => member.promote(call.term, &candidate, entry),
-            Verb::Follow(primary) => member.follow(call.term, &candidate, number(primary)),
+            Verb::Follow(primary) => member.follow(call.term, number(primary)),
         };
         if before != Role::Primary && member.role == Role::Primary {
             self.elected(call.member);
--- a/crates/daemon/tests/election/main.rs
+++ b/crates/daemon/tests/election/main.rs
@@ -17,6 +17,9 @@
 /// The brief's limit for a change of primary.
 const CHANGE: Duration = Duration::from_secs(6);
 
+/// Changes of primary in the longest test.
+const ROUNDS: i32 = 3;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn dead_primary_is_replaced_and_no_confirmed_row_is_lost() {
     let mut group = Group::start().await;
@@ -49,6 +52,41 @@
     assert_eq!(status[1], "replica");
 }
 
+/// As many daemons as today's largest user has; they must not stop each other's elections.
+#[tokio::test(flavor = "multi_thread")]
+async fn nine_daemons_replace_one_primary_after_the_other() {
+    let mut group = Group::start().await;
+    let daemons: Vec<Daemon> = (0..9)
+        .map(|at| Daemon::start(&group, &format!("h{at}"), 0))
+        .collect();
+    Daemon::connect_all(&daemons);
+    let mut primary = "m1".to_owned();
+    let mut term = 1;
+    let mut values = Vec::new();
+    for round in 0..ROUNDS {
+        group.confirmed_insert(&primary, round).await;
+        values.push(round);
+        let before = Instant::now();
+        group.stop(&primary);
+        let next = group.new_primary(term + 1).await;
+        group.confirmed_insert(&next, 100 + round).await;
+        values.push(100 + round);
+        let whole = before.elapsed();
+        println!("{primary} replaced by {next} after {whole:?}");
+        assert!(whole < CHANGE, "{whole:?}");
+        values.sort_unstable();
+        assert_eq!(group.values(&next).await.as_ref(), Some(&values));
+        group.restart(&primary).await;
+        let returned = std::mem::replace(&mut primary, next);
+        eventually("the old primary follows", async || {
+            group.values(&returned).await.as_ref() == Some(&values)
+        })
+        .await;
+        let status = group.status(&primary).await.expect("the primary answers");
+        term = status[2].parse().expect("a term");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_primary_is_replaced_and_follows_when_it_thaws() {
     let group = Group::start().await;
--- /dev/null
+++ b/crates/daemon/tests/election_rows.rs
@@ -0,0 +1,56 @@
+//! Guards against taking a member's malformed answer for a grant.
+
+use magnoliahatch_core::verb::Answer;
+use magnoliahatch_core::verb::LogEnd;
+use magnoliahatch_core::verb::MemberStatus;
+use magnoliahatch_core::verb::Role;
+use magnoliahatch_core::verb::Verb;
+use magnoliahatch_daemon::election::answer;
+use magnoliahatch_daemon::election::sql;
+use magnoliahatch_daemon::election::status;
+
+fn row(text: &str) -> Vec<String> {
+    text.split(' ').map(str::to_owned).collect()
+}
+
+#[test]
+fn calls_are_quoted() {
+    let follow = Verb::Follow("m2".to_owned());
+    let address = "10.0.0.2:5432".parse().ok();
+    assert_eq!(
+        sql(&follow, 7, "it's/1f", address),
+        "SELECT * FROM platform_follow(7, 'it''s/1f', '10.0.0.2:5432')"
+    );
+}
+
+#[test]
+fn complete_rows_are_read() {
+    let end = LogEnd {
+        last_term: 3,
+        received: 90,
+    };
+    let fence = Answer::Fence {
+        granted: true,
+        term: 4,
+        end,
+    };
+    assert_eq!(answer(&Verb::Fence, &row("true 4 3 90")), Ok(fence));
+    let expected = MemberStatus {
+        role: Role::Fenced,
+        term: 4,
+        end,
+    };
+    assert_eq!(status(&row("m1 fenced 4 3 90 80 0")), Ok(expected));
+}
+
+#[test]
+fn malformed_rows_are_errors_that_name_the_column() {
+    for text in ["", "yes 4 3 90", "true 4 3", "true -1 3 90", "true 4 x 90"] {
+        assert!(answer(&Verb::Fence, &row(text)).is_err(), "{text}");
+    }
+    let error = status(&row("m1 leader 4 3 90 80 0")).expect_err("no such role");
+    assert_eq!(
+        error.to_string(),
+        "column 1 of a verb's answer is \"leader\", expected primary, replica or fenced"
+    );
+}
