--- a/crates/daemon/src/front/listener.rs
+++ b/crates/daemon/src/front/listener.rs
@@ -138,6 +138,7 @@
             return None;
         }
     };
+    context.limits.ready(&identity.organisation).await;
     let mut session = Session::new(Arc::clone(&context), client, identity);
     for (name, value) in &parameters.variables {
         if let Err(refusal) = session.set_at_start(name, value) {
--- a/crates/daemon/src/limits/handle.rs
+++ b/crates/daemon/src/limits/handle.rs
@@ -30,6 +30,9 @@
 
 /// Longest wait for a connection in the fair queue.
 const QUEUE_MAX: Duration = Duration::from_secs(5);
+/// Longest wait of a new session for the limits; a start takes a few hundred milliseconds.
+const READY_MAX: Duration = Duration::from_secs(5);
+const READY_POLL: Duration = Duration::from_millis(10);
 /// What a caller is told to wait before it repeats a statement that was refused by rate.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -58,6 +61,23 @@
         Self { shared }
     }
 
+    /// Waits until this host may admit statements of an organisation, as after the start or when
+    /// its contract is new. Gives up after a while; statements are then refused with the reason.
+    pub async fn ready(&self, organisation: &str) {
+        let limit = LimitId::Rate(organisation.to_owned());
+        let until = Instant::now() + READY_MAX;
+        while Instant::now() < until {
+            {
+                let state = self.shared.lock();
+                let known = state.coordinator.total(&limit).is_some();
+                if known && state.coordinator.in_touch(self.shared.now()) {
+                    return;
+                }
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+    }
+
     /// Admits one statement, or refuses it before anything is sent. May wait a short time for a
     /// token or a loan.
     pub async fn admit(&self, organisation: &str, deadline: Instant) -> Result<(), LimitError> {
