--- a/crates/daemon/src/databases/directory.rs
+++ b/crates/daemon/src/databases/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::RwLock;
+use std::time::Duration;
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_core::ids::DatabaseId;
@@ -11,11 +12,15 @@
 use crate::databases::database::Database;
 use crate::peers::fleet::Fleet;
 
+/// Longest wait for a group; it is started as soon as the configuration is applied.
+const READY_MAX: Duration = Duration::from_secs(5);
+
 /// All database groups of the configuration, kept current.
 #[derive(Debug)]
 pub struct Directory {
     databases: RwLock<BTreeMap<DatabaseId, Arc<Database>>>,
     fleet: Fleet,
+    changes: watch::Sender<()>,
 }
 
 impl Directory {
@@ -24,6 +29,7 @@
         let directory = Arc::new(Self {
             databases: RwLock::default(),
             fleet,
+            changes: watch::Sender::default(),
         });
         directory.update(&config.borrow_and_update());
         let weak = Arc::downgrade(&directory);
@@ -47,6 +53,14 @@
         databases.get(name).cloned()
     }
 
+    /// Waits until a group that the configuration names is started, as after a change.
+    pub async fn ready(&self, name: &str) {
+        let mut changes = self.changes.subscribe();
+        let started = changes.wait_for(|()| self.get(name).is_some());
+        // Statements for a group that does not appear are refused with the reason.
+        let _ = tokio::time::timeout(READY_MAX, started).await;
+    }
+
     /// All groups.
     pub fn all(&self) -> Vec<Arc<Database>> {
         let databases = self
@@ -70,5 +84,7 @@
                 Database::spawn(name.clone(), wanted.members.clone(), &self.fleet)
             });
         }
+        drop(databases);
+        self.changes.send_replace(());
     }
 }
--- a/crates/daemon/src/front/listener.rs
+++ b/crates/daemon/src/front/listener.rs
@@ -138,6 +138,7 @@
             return None;
         }
     };
+    context.directory.ready(&identity.database).await;
     context.limits.ready(&identity.organisation).await;
     let mut session = Session::new(Arc::clone(&context), client, identity);
     for (name, value) in &parameters.variables {
--- a/crates/daemon/tests/election_rows.rs
+++ b/crates/daemon/tests/election_rows.rs
@@ -1,9 +1,9 @@
 //! Guards against taking a member's malformed answer for a grant.
 
+use magnoliahatch_core::role::Role;
 use magnoliahatch_core::verb::Answer;
 use magnoliahatch_core::verb::LogEnd;
 use magnoliahatch_core::verb::MemberStatus;
-use magnoliahatch_core::verb::Role;
 use magnoliahatch_core::verb::Verb;
 use magnoliahatch_daemon::election::answer;
 use magnoliahatch_daemon::election::sql;
