--- a/crates/bench/tests/path/failover.rs
+++ b/crates/bench/tests/path/failover.rs
@@ -15,8 +15,8 @@
 use crate::support::value;
 
 /// Makes m2 or m3 the primary, whichever has received more; m1 is not told, as if it were cut off
-/// from the others.
-async fn promote(world: &World) {
+/// from the others. Returns the call by which a member follows the new primary.
+async fn promote(world: &World) -> String {
     // A fenced member receives nothing of the old term, so the positions do not change any more.
     let mut received = Vec::new();
     for member in [1, 2] {
@@ -44,6 +44,7 @@
     let address = world.members[first].sql;
     let follow = format!("platform_follow({term}, '{name}', '{address}')");
     world.control(second, &follow).await;
+    follow
 }
 
 /// Writes until the daemon has found the new primary; before, a write may become unknown.
@@ -162,6 +163,25 @@
     );
 }
 
+#[tokio::test]
+async fn write_refused_by_a_deposed_primary_is_sent_to_the_new_one() {
+    let world = World::start().await;
+    let client = world.connect("ash").await;
+    client
+        .batch_execute("INSERT INTO t VALUES (1, 'a')")
+        .await
+        .unwrap();
+    // m1 follows the new primary before the daemon's next probe, so that it refuses writes with
+    // 25006.
+    let follow = promote(&world).await;
+    world.control(0, &follow).await;
+    client
+        .batch_execute("INSERT INTO t VALUES (2, 'b')")
+        .await
+        .unwrap();
+    assert_eq!(value(&client, "SELECT count(*) FROM t").await, "2");
+}
+
 #[tokio::test]
 async fn old_primary_acknowledges_nothing_after_the_change() {
     let world = World::start().await;
--- a/crates/bench/tests/path/main.rs
+++ b/crates/bench/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod basics;
+mod edges;
 mod failover;
 mod lifecycle;
 mod requests;
--- a/crates/daemon/src/confirm/confirmer.rs
+++ b/crates/daemon/src/confirm/confirmer.rs
@@ -97,11 +97,6 @@
             }
         }
     }
-
-    /// A probe reported what the primary has confirmed.
-    pub fn on_confirmed(&self, term: Term, index: LogIndex) {
-        self.shared.on_confirmed(term, index);
-    }
 }
 
 impl Shared {
--- a/crates/daemon/src/confirm/freshness.rs
+++ b/crates/daemon/src/confirm/freshness.rs
@@ -23,8 +23,8 @@
 use crate::monitor::group::Group;
 use crate::verbs::Verbs;
 
-/// Time during which reads are collected for one call.
-const COLLECT: Duration = Duration::from_millis(2);
+/// Shortest time between two calls; reads that arrive meanwhile share the next one.
+const SPACING: Duration = Duration::from_millis(2);
 /// Time for one call; latency between regions is 8 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -52,8 +52,10 @@
                 .into_iter()
                 .map(|(name, address)| (name, (address, Mutex::new(None))))
                 .collect();
+            let mut next = Instant::now();
             while let Some(first) = receiver.recv().await {
-                tokio::time::sleep(COLLECT).await;
+                tokio::time::sleep_until(next.into()).await;
+                next = Instant::now() + SPACING;
                 let mut batch = vec![first];
                 while let Ok(more) = receiver.try_recv() {
                     batch.push(more);
--- a/crates/daemon/src/databases/directory.rs
+++ b/crates/daemon/src/databases/directory.rs
@@ -7,6 +7,7 @@
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::Revision;
 use tokio::sync::watch;
 
 use crate::databases::database::Database;
@@ -15,11 +16,18 @@
 /// All database groups of the configuration, kept current.
 #[derive(Debug)]
 pub struct Directory {
-    databases: RwLock<BTreeMap<DatabaseId, Arc<Database>>>,
+    state: RwLock<State>,
     limits: Arc<Limits>,
     start: Instant,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    /// Revision of the view that was applied last.
+    revision: Revision,
+    databases: BTreeMap<DatabaseId, Arc<Database>>,
+}
+
 impl Directory {
     /// Follows the configuration until its channel closes.
     pub fn spawn(
@@ -28,7 +36,7 @@
         start: Instant,
     ) -> Arc<Self> {
         let directory = Arc::new(Self {
-            databases: RwLock::default(),
+            state: RwLock::default(),
             limits,
             start,
         });
@@ -45,35 +53,40 @@
         directory
     }
 
-    /// The group of a name, as configured when its last change was applied.
-    pub fn get(&self, name: &str) -> Option<Arc<Database>> {
-        let databases = self
-            .databases
-            .read()
-            .expect("no holder of this lock panics");
-        databases.get(name).cloned()
+    /// The group of a name as configured. The task that follows the configuration may not have
+    /// seen `view` yet.
+    pub fn get(&self, name: &str, view: &ConfigView) -> Option<Arc<Database>> {
+        let wanted = view.databases.get(name)?;
+        let find = || {
+            let state = self.state.read().expect("no holder of this lock panics");
+            state.databases.get(name).cloned()
+        };
+        let current = find().filter(|database| database.has_members(&wanted.members));
+        current.or_else(|| {
+            self.update(view);
+            find()
+        })
     }
 
     /// All groups.
     pub fn all(&self) -> Vec<Arc<Database>> {
-        let databases = self
-            .databases
-            .read()
-            .expect("no holder of this lock panics");
-        databases.values().cloned().collect()
+        let state = self.state.read().expect("no holder of this lock panics");
+        state.databases.values().cloned().collect()
     }
 
+    /// Applies a view unless a newer one was applied already.
     fn update(&self, view: &ConfigView) {
-        let mut databases = self
-            .databases
-            .write()
-            .expect("no holder of this lock panics");
-        databases.retain(|name, database| {
+        let mut state = self.state.write().expect("no holder of this lock panics");
+        if view.revision < state.revision {
+            return;
+        }
+        state.revision = view.revision;
+        state.databases.retain(|name, database| {
             let wanted = view.databases.get(name);
             wanted.is_some_and(|wanted| database.has_members(&wanted.members))
         });
         for (name, wanted) in &view.databases {
-            databases.entry(name.clone()).or_insert_with(|| {
+            state.databases.entry(name.clone()).or_insert_with(|| {
                 Database::spawn(
                     name.clone(),
                     wanted.members.clone(),
--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -40,6 +40,9 @@
     /// Queues a message and sends when enough is queued. A caller that does not read its answer
     /// is given up at the deadline, so that it does not occupy an endpoint connection.
     pub(crate) async fn feed(&mut self, frame: Frame, deadline: Instant) -> Result<(), FrameError> {
+        if self.frames.write_buffer().len() < self.frames.backpressure_boundary() {
+            return self.frames.start_send_unpin(frame);
+        }
         tokio::time::timeout_at(deadline.into(), self.frames.feed(frame))
             .await
             .map_err(|_| stalled())?
--- a/crates/daemon/src/front/exchange.rs
+++ b/crates/daemon/src/front/exchange.rs
@@ -15,6 +15,7 @@
 use crate::pool::lease::Lease;
 use crate::pool::open_error::OpenError;
 use crate::wire::frame::Frame;
+use crate::wire::reply;
 use crate::wire::tag;
 
 impl Session {
@@ -81,19 +82,25 @@
         }
     }
 
-    /// Sends the messages and relays the answer, while the caller may cancel it.
+    /// Sends the messages and relays the answer, while the caller may cancel it. Statements
+    /// `before` the request travel with it; they must open a transaction block, in which the
+    /// endpoint ignores the request if they fail.
     pub(crate) async fn exchange(
         &mut self,
         lease: &mut Lease,
         script: &mut Script,
         relay: &mut Relay,
         attempt: &mut Attempt,
+        before: Option<&str>,
     ) -> Result<Option<TxStatus>, RelayError> {
         let connection = lease.connection();
         connection.position = None;
         self.cancel.begin(connection.key.clone());
         let frames = std::mem::take(&mut script.frames);
         let sending = async {
+            if let Some(sql) = before {
+                connection.feed(reply::query(sql)).await?;
+            }
             for frame in frames {
                 attempt.progress.sent = true;
                 connection.feed(frame).await?;
@@ -101,6 +108,10 @@
             connection.flush().await
         };
         let result = match tokio::time::timeout_at(attempt.deadline.into(), sending).await {
+            Ok(Ok(())) if before.is_some() => match read_before(lease, attempt).await {
+                Ok(()) => relay.run(lease, &mut self.client, attempt.to_ready).await,
+                Err(error) => Err(RelayError::Before(error)),
+            },
             Ok(Ok(())) => relay.run(lease, &mut self.client, attempt.to_ready).await,
             Ok(Err(error)) => Err(RelayError::Endpoint(error)),
             Err(_) => Err(RelayError::Timeout),
@@ -122,6 +133,22 @@
     }
 }
 
+/// Reads the answer to the statements before a request; if they failed, also its own answer.
+async fn read_before(lease: &mut Lease, attempt: &Attempt) -> Result<(), OpenError> {
+    let connection = lease.connection();
+    let reading = async {
+        let before = connection.read_rows().await;
+        if matches!(before, Err(OpenError::Refused { .. })) {
+            let _ = connection.read_rows().await;
+        }
+        before.map(drop)
+    };
+    match tokio::time::timeout_at(attempt.deadline.into(), reading).await {
+        Ok(result) => result,
+        Err(_) => Err(OpenError::Timeout),
+    }
+}
+
 /// Runs statements of the proxy itself.
 pub(crate) async fn query(
     lease: &mut Lease,
--- a/crates/daemon/src/front/execute.rs
+++ b/crates/daemon/src/front/execute.rs
@@ -87,7 +87,9 @@
             let limits = Arc::clone(&self.context.limits);
             limits.admit(&self.identity.organisation, deadline).await?;
         }
-        let database = self.context.directory.get(&self.identity.database);
+        let view = Arc::clone(&self.context.config.borrow());
+        let name = &self.identity.database;
+        let database = self.context.directory.get(name, &view);
         let database = database.ok_or(Refusal::NoPrimary)?;
         let reads = self.lease.is_none() && classes.iter().all(Class::is_read);
         let open = self.state.status != TxStatus::Idle;
@@ -221,7 +223,7 @@
         let (mut script, mut relay) = self.compose(&mut lease, work, &needs, attempt);
         let sent = Instant::now();
         let key = lease.connection().key.clone();
-        let exchange = self.exchange(&mut lease, &mut script, &mut relay, attempt);
+        let exchange = self.exchange(&mut lease, &mut script, &mut relay, attempt, None);
         match exchange.await {
             Ok(Some(status)) if relay.is_read_only() => {
                 self.settle(&mut lease, &script, &relay, needs.len(), status);
--- a/crates/daemon/src/front/relay.rs
+++ b/crates/daemon/src/front/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::FutureExt;
 use magnoliahatch_core::class::Class;
 use magnoliahatch_core::session::TxStatus;
 use thiserror::Error;
@@ -12,6 +13,7 @@
 use crate::front::step::Step;
 use crate::pool::connection::Connection;
 use crate::pool::lease::Lease;
+use crate::pool::open_error::OpenError;
 use crate::wire::fields;
 use crate::wire::frame::Frame;
 use crate::wire::frame_error::FrameError;
@@ -33,6 +35,8 @@
     Timeout,
     #[error("the endpoint answered out of order")]
     Order,
+    #[error("a statement before the request failed: {0}")]
+    Before(OpenError),
     #[error("the caller's connection failed: {0}")]
     Client(FrameError),
 }
@@ -45,6 +49,7 @@
     simple: bool,
     /// Messages kept back while the request may still be sent to another member.
     early: Option<Vec<Frame>>,
+    early_size: usize,
     /// Bytes up to which the whole answer is kept, so that it can be recorded.
     record_limit: usize,
     /// Completion and what follows it, kept back until the answer is confirmed.
@@ -85,6 +90,7 @@
             steps,
             simple,
             early: keep_early.then(Vec::new),
+            early_size: 0,
             record_limit: 0,
             held: Vec::new(),
             committed: false,
@@ -129,7 +135,12 @@
             if !to_ready && (self.steps.is_empty() || self.error.is_some()) {
                 return Ok(None);
             }
-            let frame = tokio::select! {
+            // Messages that arrived together need no timers.
+            let arrived = lease.connection().receive().now_or_never();
+            let frame = if let Some(result) = arrived {
+                received(result)?
+            } else {
+                tokio::select! {
                 biased;
                 frame = receive(lease.connection(), self.deadline) => frame?,
                 changed = silent.changed() => {
@@ -140,6 +151,7 @@
                     }
                     continue;
                 }
+                }
             };
             if frame.tag() == tag::READY {
                 let status = frame.body().first().copied().and_then(TxStatus::from_byte);
@@ -247,9 +259,9 @@
             frame.tag(),
             tag::DATA_ROW | tag::COMMAND_COMPLETE | tag::PORTAL_SUSPENDED | tag::EMPTY_QUERY
         );
+        self.early_size += frame.raw().len();
         early.push(frame);
-        let size: usize = early.iter().map(|kept| kept.raw().len()).sum();
-        if size > self.record_limit && (accepted || self.record_limit > 0) {
+        if self.early_size > self.record_limit && (accepted || self.record_limit > 0) {
             self.release_early(client).await?;
         }
         Ok(())
@@ -293,9 +305,13 @@
 
 async fn receive(connection: &mut Connection, deadline: Instant) -> Result<Frame, RelayError> {
     match tokio::time::timeout_at(deadline.into(), connection.receive()).await {
-        Ok(Ok(Some(frame))) => Ok(frame),
-        Ok(Ok(None)) => Err(RelayError::Closed),
-        Ok(Err(error)) => Err(RelayError::Endpoint(error)),
+        Ok(result) => received(result),
         Err(_) => Err(RelayError::Timeout),
     }
 }
+
+fn received(result: Result<Option<Frame>, FrameError>) -> Result<Frame, RelayError> {
+    result
+        .map_err(RelayError::Endpoint)?
+        .ok_or(RelayError::Closed)
+}
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -18,6 +18,8 @@
 use crate::front::execute::Work;
 use crate::front::recorded;
 use crate::front::refusal::Refusal;
+use crate::front::relay::RelayError;
+use crate::front::session::End;
 use crate::front::session::Session;
 use crate::pool::lease::Lease;
 use crate::pool::member_pool::LeaseError;
@@ -124,27 +126,41 @@
         let prepared = self.prepare(&mut lease, &needs).await;
         prepared.map_err(Setback::NotRun)?;
         let begin = format!("BEGIN; {}", self.insert(id));
-        match query(&mut lease, &begin).await {
-            Ok(_) => {}
-            Err(error) if has_code(&error, UNIQUE_VIOLATION) => {
-                return self.answer_again(lease, work, id, attempt).await;
-            }
-            Err(error) if has_code(&error, UNDEFINED_TABLE) => {
-                self.end_transaction(&mut lease).await?;
-                self.create_table(&mut lease).await?;
-                return Err(Setback::NotRun(error));
-            }
-            Err(error) => return Err(Setback::NotRun(error)),
-        }
         let sent = Instant::now();
         let (mut script, mut relay) = self.compose(&mut lease, work, &[], attempt);
         relay.record(recorded::ANSWER_LIMIT);
-        let exchange = self.exchange(&mut lease, &mut script, &mut relay, attempt);
+        let before = Some(begin.as_str());
+        let exchange = self.exchange(&mut lease, &mut script, &mut relay, attempt, before);
         let exchanged = exchange.await;
         attempt.progress.relayed = relay.relayed;
-        if let Err(error) = exchanged {
-            let cause = std::io::Error::other(error.to_string());
-            return Err(Setback::NotRun(OpenError::Connect(cause)));
+        match exchanged {
+            Ok(_) => {}
+            Err(RelayError::Before(error)) => {
+                let link = &mut lease.connection().link;
+                script
+                    .parsed
+                    .iter()
+                    .for_each(|name| link.remove_statement(name));
+                if script.closes {
+                    link.taint();
+                }
+                if has_code(&error, UNIQUE_VIOLATION) {
+                    return self.answer_again(lease, work, id, attempt).await;
+                }
+                if has_code(&error, UNDEFINED_TABLE) {
+                    self.end_transaction(&mut lease).await?;
+                    self.create_table(&mut lease).await?;
+                }
+                return Err(Setback::NotRun(error));
+            }
+            Err(RelayError::Client(_)) => return Err(Failure::End(End::Closed).into()),
+            Err(error) => {
+                if matches!(error, RelayError::Timeout) {
+                    lease.pool().on_silence(sent);
+                }
+                let cause = std::io::Error::other(error.to_string());
+                return Err(Setback::NotRun(OpenError::Connect(cause)));
+            }
         }
         if relay.error.is_some() {
             self.end_transaction(&mut lease).await?;
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -190,9 +190,9 @@
                     organisation = self.identity.organisation,
                     "transaction idle for too long; rolled back"
                 );
+                self.given_up = self.state.status != TxStatus::Idle;
                 self.abandon().await;
                 self.unsynced = false;
-                self.given_up = true;
                 self.postponed = Some(Refusal::IdleTransaction);
                 return Ok(());
             }
--- a/crates/daemon/src/monitor/group.rs
+++ b/crates/daemon/src/monitor/group.rs
@@ -17,6 +17,8 @@
 use magnoliahatch_core::route;
 use magnoliahatch_core::route::Choice;
 use magnoliahatch_core::route::ReadNeed;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::sync::watch;
 
 use crate::verbs::MemberStatus;
@@ -37,6 +39,7 @@
     ring: Mutex<PositionRing>,
     /// Shortest age in milliseconds that reads asked for since the last probe of the primary.
     asked: AtomicU64,
+    nudge: Notify,
 }
 
 impl Group {
@@ -47,6 +50,7 @@
             view: watch::Sender::new(GroupView::default()),
             ring: Mutex::new(PositionRing::new(RING_CAPACITY)),
             asked: AtomicU64::new(u64::MAX),
+            nudge: Notify::new(),
         }
     }
 
@@ -120,7 +124,17 @@
         self.asked.fetch_min(age, Ordering::Relaxed);
         let now = self.start.elapsed();
         let ring = self.ring.lock().expect("no holder of this lock panics");
-        route::choose(&self.view.borrow(), &ring, need, now, turn, cost)
+        let choice = route::choose(&self.view.borrow(), &ring, need, now, turn, cost);
+        if choice == Choice::Primary && need.seen.is_some() && !need.max_age.is_zero() {
+            // Replicas may have applied more than is known of them.
+            self.nudge.notify_waiters();
+        }
+        choice
+    }
+
+    /// Returns once a read found no replica that is known to be current enough.
+    pub fn nudged(&self) -> Notified<'_> {
+        self.nudge.notified()
     }
 
     /// Time until the next probe. Probes are frequent only while reads accept a short age.
--- a/crates/daemon/src/monitor/probe.rs
+++ b/crates/daemon/src/monitor/probe.rs
@@ -16,6 +16,9 @@
 /// overloaded or cut off.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Shortest time between probes that reads ask for.
+const SPACING: Duration = Duration::from_millis(5);
+
 /// Probes a member until `alive` closes.
 pub(crate) fn spawn(group: Arc<Group>, pool: Arc<MemberPool>, mut alive: watch::Receiver<()>) {
     tokio::spawn(async move {
@@ -29,9 +32,19 @@
                     group.on_failure(&pool.member);
                 }
             }
+            let nudged = group.nudged();
+            tokio::pin!(nudged);
+            nudged.as_mut().enable();
+            let primary = group.primary().is_some_and(|(name, _)| name == pool.member);
+            let early = async {
+                nudged.await;
+                tokio::time::sleep_until((sent + SPACING).into()).await;
+            };
             tokio::select! {
                 _ = alive.changed() => return,
                 () = tokio::time::sleep(group.interval()) => {}
+                // Answers tell the primary's position, so only replicas are asked early.
+                () = early, if !primary => {}
             }
         }
     });
--- a/crates/daemon/src/pool/connection.rs
+++ b/crates/daemon/src/pool/connection.rs
@@ -139,6 +139,11 @@
     pub async fn rows(&mut self, sql: &str) -> Result<Vec<Vec<Option<String>>>, OpenError> {
         self.feed(reply::query(sql)).await?;
         self.flush().await?;
+        self.read_rows().await
+    }
+
+    /// Reads the answer to a simple query up to ReadyForQuery.
+    pub async fn read_rows(&mut self) -> Result<Vec<Vec<Option<String>>>, OpenError> {
         let mut rows = Vec::new();
         let mut failure = None;
         loop {
