Ask replicas again for reads without age until the deadline

One status call of 400 ms decided whether a read that accepts no age was confirmed, so a short stall of both replicas became an unknown outcome (one of 369 reads in a trial on a busy machine).

--- a/crates/daemon/src/confirm/freshness.rs
+++ b/crates/daemon/src/confirm/freshness.rs
@@ -25,6 +25,8 @@
 
 /// Shortest time between two calls; reads that arrive meanwhile share the next one.
 const SPACING: Duration = Duration::from_millis(2);
+/// Pause before replicas that could not be asked are asked again.
+const PAUSE: Duration = Duration::from_millis(20);
 /// Time for one call; latency between regions is 8 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -37,7 +39,18 @@
 #[derive(Debug)]
 struct Ask {
     term: Term,
-    answer: oneshot::Sender<bool>,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// What the replicas said to one ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    /// A replica follows the primary of the term.
+    Current,
+    /// A replica has heard of a newer term.
+    Superseded,
+    /// No replica could be asked.
+    None,
 }
 
 impl Freshness {
@@ -67,43 +80,60 @@
                     .filter(|(name, _)| Some(*name) != primary.as_ref())
                     .map(|(_, (address, link))| replica_term(*address, &database, link))
                     .collect();
+                let mut newest = None;
                 while let Some(found) = calls.next().await {
-                    let (done, rest) = batch.into_iter().partition(|a| Some(a.term) == found);
+                    newest = newest.max(found.map(|(term, _)| term));
+                    let follows = |ask: &Ask| found == Some((ask.term, Role::Replica));
+                    let (done, rest): (Vec<_>, _) = batch.into_iter().partition(follows);
                     batch = rest;
                     for ask in done {
-                        let _ = ask.answer.send(true);
+                        let _ = ask.answer.send(Answer::Current);
                     }
                     if batch.is_empty() {
                         break;
                     }
                 }
                 for ask in batch {
-                    let _ = ask.answer.send(false);
+                    let superseded = newest.is_some_and(|newest| newest > ask.term);
+                    let answer = if superseded {
+                        Answer::Superseded
+                    } else {
+                        Answer::None
+                    };
+                    let _ = ask.answer.send(answer);
                 }
             }
         });
         Self { asks }
     }
 
-    /// Whether a replica, asked from now on, still reports `term`.
+    /// Whether a replica, asked from now on, still reports `term`. Replicas that cannot be asked
+    /// are asked again until the deadline.
     pub async fn check(&self, term: Term, deadline: Instant) -> bool {
-        let (answer, receiver) = oneshot::channel();
-        if self.asks.send(Ask { term, answer }).is_err() {
-            return false;
-        }
-        matches!(
-            tokio::time::timeout_at(deadline.into(), receiver).await,
-            Ok(Ok(true))
-        )
+        let asking = async {
+            loop {
+                let (answer, receiver) = oneshot::channel();
+                if self.asks.send(Ask { term, answer }).is_err() {
+                    return false;
+                }
+                match receiver.await {
+                    Ok(Answer::Current) => return true,
+                    Ok(Answer::None) => tokio::time::sleep(PAUSE).await,
+                    Ok(Answer::Superseded) | Err(_) => return false,
+                }
+            }
+        };
+        let result = tokio::time::timeout_at(deadline.into(), asking).await;
+        result.unwrap_or(false)
     }
 }
 
-/// Term that a replica follows; none if it cannot be asked or follows no primary.
+/// Term and role that a member reports; none if it cannot be asked.
 async fn replica_term(
     address: SocketAddr,
     database: &str,
     link: &Mutex<Option<Verbs>>,
-) -> Option<Term> {
+) -> Option<(Term, Role)> {
     let mut link = link.lock().await;
     let deadline = Instant::now() + CALL_TIMEOUT;
     // The open connection may have ended since the last call; a new one is tried once.
@@ -116,7 +146,7 @@
         match verbs.status(deadline).await {
             Ok(status) => {
                 *link = Some(verbs);
-                return (status.role == Role::Replica).then_some(status.term);
+                return Some((status.term, status.role));
             }
             Err(_) if kept => {}
             Err(_) => return None,
