--- a/crates/daemon/src/databases/directory.rs
+++ b/crates/daemon/src/databases/directory.rs
@@ -3,33 +3,39 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::RwLock;
-use std::time::Duration;
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::Revision;
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 
 use crate::databases::database::Database;
 use crate::peers::fleet::Fleet;
 
-/// Longest wait for a group; it is started as soon as the configuration is applied.
-const READY_MAX: Duration = Duration::from_secs(5);
-
 /// All database groups of the configuration, kept current.
 #[derive(Debug)]
 pub struct Directory {
-    databases: RwLock<BTreeMap<DatabaseId, Arc<Database>>>,
+    state: RwLock<State>,
     fleet: Fleet,
-    changes: watch::Sender<()>,
+    /// Runtime of the control tasks, also for groups that a session is the first to ask for.
+    runtime: Handle,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Revision of the view that was applied last.
+    revision: Revision,
+    databases: BTreeMap<DatabaseId, Arc<Database>>,
 }
 
 impl Directory {
     /// Follows the configuration until its channel closes.
     pub fn spawn(mut config: watch::Receiver<Arc<ConfigView>>, fleet: Fleet) -> Arc<Self> {
         let directory = Arc::new(Self {
-            databases: RwLock::default(),
+            state: RwLock::default(),
             fleet,
-            changes: watch::Sender::default(),
+            runtime: Handle::current(),
         });
         directory.update(&config.borrow_and_update());
         let weak = Arc::downgrade(&directory);
@@ -44,47 +50,43 @@
         directory
     }
 
-    /// The group of a name, as configured when its last change was applied.
-    pub fn get(&self, name: &str) -> Option<Arc<Database>> {
-        let databases = self
-            .databases
-            .read()
-            .expect("no holder of this lock panics");
-        databases.get(name).cloned()
-    }
-
-    /// Waits until a group that the configuration names is started, as after a change.
-    pub async fn ready(&self, name: &str) {
-        let mut changes = self.changes.subscribe();
-        let started = changes.wait_for(|()| self.get(name).is_some());
-        // Statements for a group that does not appear are refused with the reason.
-        let _ = tokio::time::timeout(READY_MAX, started).await;
+    /// The group of a name as configured. The task that follows the configuration may not have
+    /// seen `view` yet.
+    pub fn get(&self, name: &str, view: &ConfigView) -> Option<Arc<Database>> {
+        let wanted = view.databases.get(name)?;
+        let find = || {
+            let state = self.state.read().expect("no holder of this lock panics");
+            state.databases.get(name).cloned()
+        };
+        let current = find().filter(|database| database.has_members(&wanted.members));
+        current.or_else(|| {
+            self.update(view);
+            find()
+        })
     }
 
     /// All groups.
     pub fn all(&self) -> Vec<Arc<Database>> {
-        let databases = self
-            .databases
-            .read()
-            .expect("no holder of this lock panics");
-        databases.values().cloned().collect()
+        let state = self.state.read().expect("no holder of this lock panics");
+        state.databases.values().cloned().collect()
     }
 
+    /// Applies a view unless a newer one was applied already.
     fn update(&self, view: &ConfigView) {
-        let mut databases = self
-            .databases
-            .write()
-            .expect("no holder of this lock panics");
-        databases.retain(|name, database| {
+        let _guard = self.runtime.enter();
+        let mut state = self.state.write().expect("no holder of this lock panics");
+        if view.revision < state.revision {
+            return;
+        }
+        state.revision = view.revision;
+        state.databases.retain(|name, database| {
             let wanted = view.databases.get(name);
             wanted.is_some_and(|wanted| database.has_members(&wanted.members))
         });
         for (name, wanted) in &view.databases {
-            databases.entry(name.clone()).or_insert_with(|| {
+            state.databases.entry(name.clone()).or_insert_with(|| {
                 Database::spawn(name.clone(), wanted.members.clone(), &self.fleet)
             });
         }
-        drop(databases);
-        self.changes.send_replace(());
     }
 }
--- a/crates/daemon/src/front/listener.rs
+++ b/crates/daemon/src/front/listener.rs
@@ -138,7 +138,6 @@
             return None;
         }
     };
-    context.directory.ready(&identity.database).await;
     context.limits.ready(&identity.organisation).await;
     let mut session = Session::new(Arc::clone(&context), client, identity);
     for (name, value) in &parameters.variables {
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -127,7 +127,7 @@
         database: DatabaseId,
         order: SwitchoverOrder,
     ) -> Result<SwitchoverDone, SwitchoverError> {
-        let Some(group) = self.context.directory.get(&database) else {
+        let Some(group) = self.context.directory.get(&database, &self.config.view()) else {
             return Err(SwitchoverError::NoMajority);
         };
         let mut elected = group.election.elected.clone();
