--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -16,8 +16,6 @@
 use crate::loan::LoanGrant;
 use crate::loan::LoanRequest;
 use crate::message::Message;
-use crate::rendezvous;
-use crate::renewal::borrow_due;
 use crate::seat::SeatState;
 use crate::seat::VOUCH;
 use crate::seat_table::SeatTable;
@@ -25,12 +23,6 @@
 
 /// Time between two heartbeats to the same peer.
 pub const HEARTBEAT: Duration = Duration::from_secs(1);
-/// Time between two requests for unused floors. Three fit into a loan, since a loan that has less
-/// than half its time left cannot be lent on.
-const POOL: Duration = Duration::from_millis(500);
-/// How long the pooling host goes on asking for unused floors after the last borrower asked.
-const POOL_IDLE: Duration = Duration::from_secs(2);
-
 /// How limits are divided; all but `Loans` are baselines for comparison.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -42,6 +34,17 @@
     Static,
 }
 
+/// What lets a holder use its floor.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SeatRule {
+    /// Vouches of a majority.
+    #[default]
+    Vouches,
+    /// Contact with the store within one vouch, as the baseline that an outage stops.
+    StoreLease,
+}
+
 /// A message to a peer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Outgoing {
@@ -50,22 +53,25 @@
 }
 
 #[derive(Debug)]
-struct Entry {
-    total: Amount,
-    share: Share,
-    wanted: Option<Duration>,
+pub(crate) struct Entry {
+    pub(crate) total: Amount,
+    pub(crate) share: Share,
+    pub(crate) wanted: Option<Duration>,
 }
 
 /// Decides for one host; driven by messages, ticks and the configuration.
 #[derive(Debug)]
 pub struct Coordinator {
-    seat: SeatState,
+    pub(crate) seat: SeatState,
     claimant: Claimant,
     division: Division,
-    limits: BTreeMap<LimitId, Entry>,
+    seats: SeatRule,
+    pub(crate) limits: BTreeMap<LimitId, Entry>,
     peers: BTreeMap<HostId, Option<Duration>>,
     store_until: Duration,
-    next_id: LoanId,
+    pub(crate) next_id: LoanId,
+    /// Rank, number of seats and agreement for which the floors were last set.
+    shape: Option<Option<(usize, usize, bool)>>,
 }
 
 impl Coordinator {
@@ -74,14 +80,21 @@
             seat: SeatState::new(host, incarnation, now),
             claimant: Claimant::default(),
             division,
+            seats: SeatRule::default(),
             limits: BTreeMap::new(),
             peers: BTreeMap::new(),
             store_until: Duration::ZERO,
             // Distinct between two runs, so that late answers to an earlier run match nothing.
             next_id: incarnation >> 24,
+            shape: None,
         }
     }
 
+    /// Chooses what lets this host use its floor.
+    pub fn set_rule(&mut self, seats: SeatRule) {
+        self.seats = seats;
+    }
+
     /// Replaces the limits. Existing ones keep their loans.
     pub fn set_limits(&mut self, totals: &BTreeMap<LimitId, Amount>, now: Duration) {
         self.limits.retain(|id, _| totals.contains_key(id));
@@ -93,6 +106,7 @@
             });
             entry.total = *total;
         }
+        self.shape = None;
         self.refresh(now);
     }
 
@@ -132,7 +146,8 @@
 
     /// Whether the store or a majority of the seated hosts was reached within one vouch.
     pub fn in_touch(&self, now: Duration) -> bool {
-        now < self.store_until || self.seat.is_vouched(now)
+        let vouches = self.seats == SeatRule::Vouches;
+        now < self.store_until || (vouches && self.seat.is_vouched(now))
     }
 
     /// Takes one statement's token of an organisation.
@@ -303,70 +318,25 @@
         out
     }
 
-    fn loans(&mut self, now: Duration, out: &mut Vec<Outgoing>) {
-        let host = self.seat.host.clone();
-        let live: Vec<HostId> = self.seat.live(now).cloned().collect();
-        let mut borrows: BTreeMap<HostId, Vec<(LimitId, LoanRequest)>> = BTreeMap::new();
-        let mut pools: BTreeMap<HostId, Vec<(LimitId, LoanRequest)>> = BTreeMap::new();
-        for (limit, entry) in &mut self.limits {
-            let share = &mut entry.share;
-            // More than the whole limit is never granted, and the number would change all the time.
-            let want = share.want(now).min(entry.total.rate);
-            let hosts = live.iter().map(String::as_str).chain([host.as_str()]);
-            let Some(owner) = rendezvous::owner(&limit.duty(), hosts).map(str::to_owned) else {
-                continue;
-            };
-            if owner != host {
-                if borrow_due(share, &owner, want, limit.unit(), now) {
-                    self.next_id += 1;
-                    let want = Amount::new(want, 0.0);
-                    let request = share.request(&owner, self.next_id, want, now);
-                    borrows
-                        .entry(owner)
-                        .or_default()
-                        .push((limit.clone(), request));
-                }
-                continue;
-            }
-            if want > 0.0 {
-                entry.wanted = Some(now);
-            }
-            if entry.wanted.is_none_or(|at| now >= at + POOL_IDLE) {
-                continue;
-            }
-            for peer in &live {
-                let due = share
-                    .last_request(peer)
-                    .is_none_or(|(at, _)| now >= at + POOL);
-                if due {
-                    self.next_id += 1;
-                    let request = share.request(peer, self.next_id, Amount::ZERO, now);
-                    pools
-                        .entry(peer.clone())
-                        .or_default()
-                        .push((limit.clone(), request));
-                }
-            }
-        }
-        out.extend(borrows.into_iter().map(|(to, requests)| Outgoing {
-            to,
-            message: Message::LoanRequest(requests),
-        }));
-        out.extend(pools.into_iter().map(|(to, requests)| Outgoing {
-            to,
-            message: Message::LoanPool(requests),
-        }));
-    }
-
     /// Sets the floors of the known seat table, and confirms it once they are in force.
     fn refresh(&mut self, now: Duration) {
         let floor = self.seat.floor();
+        let until = match (floor, self.seats) {
+            (None, _) => now,
+            (Some(f), SeatRule::Vouches) => f.until,
+            (Some(f), SeatRule::StoreLease) => f.until.min(self.store_until),
+        };
+        let shape = floor.map(|f| (f.rank, f.count, f.settled));
+        let changed = self.shape != Some(shape);
+        self.shape = Some(shape);
         let mut in_force = true;
         for (id, entry) in &mut self.limits {
-            let (amount, until) = match floor {
-                Some(f) => (id.floor(entry.total, f.rank, f.count, f.settled), f.until),
-                None => (Amount::ZERO, now),
-            };
+            if !changed && entry.share.extend_floor(until, now) {
+                continue;
+            }
+            let amount = shape.map_or(Amount::ZERO, |(rank, count, settled)| {
+                id.floor(entry.total, rank, count, settled)
+            });
             in_force &= entry.share.set_floor(amount, until, now);
         }
         let known = self.seat.table().map_or(0, |t| t.version);
--- a/crates/core/src/loan.rs
+++ b/crates/core/src/loan.rs
@@ -97,6 +97,10 @@
             .fold(Amount::ZERO, |sum, c| sum.plus(all_runs(c, at)))
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.charges.is_empty()
+    }
+
     /// Times at which loans end.
     pub fn ends(&self) -> impl Iterator<Item = Duration> {
         self.charges.values().flatten().map(|c| c.until)
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -108,6 +108,25 @@
         self.floor == floor
     }
 
+    /// Extends a floor that has not changed. False if a change is still to be taken, for which
+    /// `set_floor` is needed.
+    pub fn extend_floor(&mut self, until: Duration, now: Duration) -> bool {
+        if self.floor != self.target {
+            return false;
+        }
+        if now >= self.floor_until {
+            self.advance(now);
+        }
+        self.floor_until = until;
+        true
+    }
+
+    /// Whether nothing was borrowed or lent lately.
+    pub fn is_idle(&self, now: Duration) -> bool {
+        let recent = |b: &Borrowed| b.sent.is_some_and(|at| now < at + HOLDER_LOAN);
+        self.ledger.is_empty() && !self.borrowed.values().any(recent)
+    }
+
     fn settle(&mut self, now: Duration) {
         if self.floor != self.target {
             let lost = self.floor.minus(self.target);
--- a/crates/daemon/src/limits/handle.rs
+++ b/crates/daemon/src/limits/handle.rs
@@ -50,11 +50,18 @@
         store: StoreClient,
         config: watch::Receiver<Arc<ConfigView>>,
     ) -> Self {
-        let coordinator = Coordinator::new(host, incarnation, settings.division, Duration::ZERO);
+        let division = settings.division;
+        let mut coordinator = Coordinator::new(host, incarnation, division, Duration::ZERO);
+        coordinator.set_rule(settings.seats);
         let shared = Shared::new(coordinator, Instant::now(), settings.order);
         shared.configure(&config.borrow());
         tokio::spawn(driver::run(shared.clone(), link, config.clone()));
-        tokio::spawn(seat_keeper::run(shared.clone(), store, config));
+        tokio::spawn(seat_keeper::run(
+            shared.clone(),
+            store,
+            settings.seats,
+            config,
+        ));
         Self { shared }
     }
 
--- a/crates/daemon/src/limits/seat_keeper.rs
+++ b/crates/daemon/src/limits/seat_keeper.rs
@@ -11,6 +11,7 @@
 use magnoliahatch_client::store::StoreClient;
 use magnoliahatch_client::store_error::StoreError;
 use magnoliahatch_core::claim::Claim;
+use magnoliahatch_core::coordinator::SeatRule;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -29,6 +30,7 @@
 pub(crate) async fn run(
     shared: Arc<Shared>,
     store: StoreClient,
+    rule: SeatRule,
     config: watch::Receiver<Arc<ConfigView>>,
 ) {
     let mut read = None;
@@ -37,7 +39,8 @@
         let (claim, vouched) = {
             let mut state = shared.lock();
             let claim = state.coordinator.claim(begun);
-            (claim, state.coordinator.seat().is_vouched(begun))
+            let vouched = state.coordinator.seat().is_vouched(begun);
+            (claim, vouched && rule == SeatRule::Vouches)
         };
         let outcome = match claim {
             Some(claim) => update(&shared, &store, &claim).await,
--- a/crates/daemon/src/limits/settings.rs
+++ b/crates/daemon/src/limits/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the limits.
 
 use magnoliahatch_core::coordinator::Division;
+use magnoliahatch_core::coordinator::SeatRule;
 use magnoliahatch_core::fair_queue::Order;
 use serde::Deserialize;
 
@@ -10,4 +11,5 @@
 pub struct LimitSettings {
     pub division: Division,
     pub order: Order,
+    pub seats: SeatRule,
 }
--- a/crates/daemon/src/limits/shared.rs
+++ b/crates/daemon/src/limits/shared.rs
@@ -25,6 +25,9 @@
 use crate::limits::rate_queue::RateQueue;
 use crate::limits::table;
 
+/// Time between two rounds over the members that have no connection open or wanted.
+const SERVE_ALL: Duration = Duration::from_millis(250);
+
 /// The coordinator with the queues of this host. Locked for microseconds at a time.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -33,6 +36,8 @@
     pub(crate) members: BTreeMap<LimitId, MemberQueue>,
     pub(crate) weights: BTreeMap<OrganisationId, u32>,
     pub(crate) stopping: bool,
+    /// When all members were served.
+    served: Duration,
 }
 
 #[derive(Debug)]
@@ -54,6 +59,7 @@
                 members: BTreeMap::new(),
                 weights: BTreeMap::new(),
                 stopping: false,
+                served: Duration::ZERO,
             }),
             base,
             order,
@@ -119,13 +125,22 @@
         self.wake.notify_one();
     }
 
-    /// Brings all queues to `now`.
+    /// Brings the queues to `now`. Members without any connection need it only now and then.
     pub(crate) fn serve(&self, state: &mut State, now: Duration) {
         let organisations: Vec<OrganisationId> = state.rates.keys().cloned().collect();
         for organisation in organisations {
             self.serve_rate(state, &organisation, now);
         }
-        let members: Vec<LimitId> = state.members.keys().cloned().collect();
+        let all = now >= state.served + SERVE_ALL;
+        if all {
+            state.served = now;
+        }
+        let members: Vec<LimitId> = state
+            .members
+            .iter()
+            .filter(|(_, member)| all || member.open > 0 || member.need() > 0)
+            .map(|(limit, _)| limit.clone())
+            .collect();
         for limit in members {
             self.serve_member(state, &limit, now);
         }
--- a/crates/daemon/tests/limits_fleet.rs
+++ b/crates/daemon/tests/limits_fleet.rs
@@ -16,6 +16,7 @@
 use limits_support::node::addresses;
 use limits_support::store::Store;
 use limits_support::until;
+use magnoliahatch_core::coordinator::SeatRule;
 use magnoliahatch_daemon::limits::limit_error::LimitError;
 use magnoliahatch_daemon::limits::settings::LimitSettings;
 use tempfile::TempDir;
@@ -268,6 +269,35 @@
     permit.revoked().await;
 }
 
+/// Shows what the baseline with seats by leases in the store loses in an outage of the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn store_leases_stop_the_fleet_in_an_outage() {
+    let settings = LimitSettings {
+        seats: SeatRule::StoreLease,
+        ..LimitSettings::default()
+    };
+    let fleet = Fleet::start(3, settings).await;
+    fleet.load(&[20, 20, 20]);
+    fleet.used(2.0).await;
+    let used = fleet.used(2.0).await;
+    fleet.store.set_up(false);
+    let stopped = || {
+        fleet
+            .nodes
+            .iter()
+            .flatten()
+            .all(|n| !n.parts.limits.in_touch())
+    };
+    until("the leases have ended", stopped).await;
+    let outage = fleet.used(2.0).await;
+    println!(
+        "store leases: {:.1}% of the rate, in an outage {:.1}%",
+        used * 100.0,
+        outage * 100.0
+    );
+    assert!(used > 0.9 && outage == 0.0);
+}
+
 /// Guards against connections that are lent while they are still open, and against permits that
 /// do not follow the load.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
