--- a/crates/bench/src/load/prepare.rs
+++ b/crates/bench/src/load/prepare.rs
@@ -16,24 +16,32 @@
 use crate::load::target::Caller;
 use crate::load::target::Entry;
 
-/// Limit for the fleet to serve each caller, at the start and after the last fault.
-const SERVING_LIMIT: Duration = Duration::from_secs(40);
+/// Limit for the fleet to serve callers, at the start and after the last fault.
+pub const SERVING_LIMIT: Duration = Duration::from_secs(40);
 /// Limit of one attempt.
 const ATTEMPT_LIMIT: Duration = Duration::from_secs(10);
 /// Wait between attempts.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Waits until every host serves the caller.
-pub async fn wait_for(entries: &[Entry], caller: &Caller) -> Result<(), LoadError> {
+pub async fn wait_for(
+    entries: &[Entry],
+    caller: &Caller,
+    deadline: Instant,
+) -> Result<(), LoadError> {
     for entry in entries {
-        persist(std::slice::from_ref(entry), caller, &["SELECT 1"]).await?;
+        persist(std::slice::from_ref(entry), caller, &["SELECT 1"], deadline).await?;
     }
     Ok(())
 }
 
 /// Creates the table in the caller's database.
-pub async fn create(entries: &[Entry], caller: &Caller) -> Result<(), LoadError> {
-    persist(entries, caller, &statement::CREATE).await?;
+pub async fn create(
+    entries: &[Entry],
+    caller: &Caller,
+    deadline: Instant,
+) -> Result<(), LoadError> {
+    persist(entries, caller, &statement::CREATE, deadline).await?;
     Ok(())
 }
 
@@ -42,10 +50,11 @@
     entries: &[Entry],
     caller: &Caller,
     start: Instant,
+    deadline: Instant,
 ) -> Result<Record, LoadError> {
     let sql = statement::audit(&caller.organisation);
     let invoked = start.elapsed();
-    let (answer, host) = persist(entries, caller, &[statement::SET_NO_AGE, &sql]).await?;
+    let (answer, host) = persist(entries, caller, &[statement::SET_NO_AGE, &sql], deadline).await?;
     Ok(Record {
         session: 0,
         host,
@@ -67,8 +76,8 @@
     entries: &[Entry],
     caller: &Caller,
     statements: &[&str],
+    deadline: Instant,
 ) -> Result<(Answer, String), LoadError> {
-    let deadline = Instant::now() + SERVING_LIMIT;
     for entry in entries.iter().cycle() {
         let failure = match run(entry, caller, statements).await {
             Ok(answer) => return Ok((answer, entry.host.clone())),
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -79,20 +79,26 @@
     });
     let entries = Arc::new(entries.collect::<Result<Vec<_>, LoadError>>()?);
     let callers = callers(scenario, &fleet)?;
+    let deadline = Instant::now() + prepare::SERVING_LIMIT;
     for database in &fleet.plan().databases {
         // Any organisation may create the table; the first that uses the database does.
         let mut users = callers.iter().flatten();
         if let Some((_, caller)) = users.find(|(_, caller)| caller.route == database.name) {
-            prepare::wait_for(&entries, caller).await?;
-            prepare::create(&entries, caller).await?;
+            prepare::wait_for(&entries, caller, deadline).await?;
+            prepare::create(&entries, caller, deadline).await?;
         }
     }
     let fleet = Arc::new(Mutex::new(fleet));
     let (results, injected, reads, start) =
         load(scenario, options, &fleet, &entries, &callers).await?;
     let mut records = results.records;
+    let deadline = Instant::now() + prepare::SERVING_LIMIT;
     for (_, caller) in callers.iter().flatten() {
-        records.push(prepare::audit(&entries, caller, start).await?);
+        // The checker reports organisations without an audit.
+        match prepare::audit(&entries, caller, start, deadline).await {
+            Ok(record) => records.push(record),
+            Err(error) => tracing::error!(event = 511, %error, "no audit"),
+        }
     }
     let samples = results.samples;
     let records = match &options.history {
--- a/crates/bench/src/load/sample.rs
+++ b/crates/bench/src/load/sample.rs
@@ -23,12 +23,14 @@
     }
 }
 
-/// An attempt that was refused.
+/// An attempt that failed.
 #[derive(Debug, Clone)]
-pub struct Refusal {
+pub struct FailedAttempt {
     /// SQLSTATE, or a name for failures without one.
     pub code: String,
     pub outcome: Outcome,
+    /// Whether the daemon or endpoint answered with an error.
+    pub refused: bool,
     /// Whether all that the organisation had sent was inside its contract.
     pub inside: bool,
 }
@@ -48,5 +50,5 @@
     /// Whether the organisation's arrivals were inside its contract.
     pub inside: bool,
     pub statements: u32,
-    pub refusals: Vec<Refusal>,
+    pub failures: Vec<FailedAttempt>,
 }
--- a/crates/bench/src/load/session.rs
+++ b/crates/bench/src/load/session.rs
@@ -24,8 +24,8 @@
 use crate::load::connection::Connection;
 use crate::load::failure::Failure;
 use crate::load::organisation::OrganisationPlan;
+use crate::load::sample::FailedAttempt;
 use crate::load::sample::Kind;
-use crate::load::sample::Refusal;
 use crate::load::sample::Sample;
 use crate::load::statement;
 use crate::load::target::Caller;
@@ -43,7 +43,7 @@
 const ROLLBACKS: f64 = 0.1;
 /// Hosts tried before an operation fails for lack of a connection.
 const HOSTS_TRIED: usize = 3;
-/// Refusal of a host that is draining or knows no primary: another host may do better.
+/// FailedAttempt of a host that is draining or knows no primary: another host may do better.
 const UNAVAILABLE: &str = "57P03";
 
 /// An operation that is due.
@@ -128,7 +128,7 @@
             served: false,
             inside: due.inside,
             statements: due.kind.statements(),
-            refusals: Vec::new(),
+            failures: Vec::new(),
         };
         let _ = self.shared.results.send((None, sample));
     }
@@ -141,7 +141,7 @@
         let content = self.content(due.kind);
         let statements = due.kind.statements();
         let invoked = shared.start.elapsed();
-        let mut refusals = Vec::new();
+        let mut failures = Vec::new();
         let mut attempts = 0;
         // Once an attempt may have run, a later refusal does not show that none has.
         let mut unknown = false;
@@ -150,9 +150,10 @@
             let attempt = self.attempt(due.kind, &content).await;
             let answered = shared.start.elapsed();
             if let Err(failure) = &attempt.result {
-                refusals.push(Refusal {
+                failures.push(FailedAttempt {
                     code: failure.code().to_owned(),
                     outcome: attempt.outcome,
+                    refused: matches!(failure, Failure::Refused { .. }),
                     inside,
                 });
             }
@@ -206,7 +207,7 @@
             served,
             inside: due.inside,
             statements,
-            refusals,
+            failures,
         };
         // The receiver outlives the sessions; it ends early only when the run is given up.
         let _ = shared.results.send((Some(record), sample));
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -1,13 +1,28 @@
-//! Guards against load that depends on the answers, or is charged against a wrong allowance.
+//! Guards against load that depends on the answers, and against reports that measure something
+//! else than they say.
 
+use std::path::Path;
 use std::time::Duration;
 
 use magnoliahatch_bench::history::outcome::Outcome;
+use magnoliahatch_bench::history::verdict::Verdict;
 use magnoliahatch_bench::load::allowance::Allowance;
 use magnoliahatch_bench::load::arrivals::Arrivals;
+use magnoliahatch_bench::load::comparison::Comparison;
+use magnoliahatch_bench::load::failover;
 use magnoliahatch_bench::load::failure::Failure;
+use magnoliahatch_bench::load::fault_plan::FaultAction;
+use magnoliahatch_bench::load::fault_plan::Injected;
 use magnoliahatch_bench::load::organisation::Offer;
 use magnoliahatch_bench::load::organisation::OrganisationPlan;
+use magnoliahatch_bench::load::reads::ReadShare;
+use magnoliahatch_bench::load::report::Report;
+use magnoliahatch_bench::load::sample::FailedAttempt;
+use magnoliahatch_bench::load::sample::Kind;
+use magnoliahatch_bench::load::sample::Sample;
+use magnoliahatch_bench::load::scenario::Scenario;
+use magnoliahatch_bench::load::summary::Summary;
+use magnoliahatch_client::settings;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
@@ -92,3 +107,130 @@
     assert_eq!(Failure::Lost(String::new()).outcome(), Outcome::Unknown);
     assert_eq!(Failure::Connect(String::new()).outcome(), Outcome::NotRun);
 }
+
+fn sample(kind: Kind, intended_ms: u64, answered_ms: u64, outcome: Outcome) -> Sample {
+    Sample {
+        organisation: 0,
+        database: 0,
+        kind,
+        intended: Duration::from_millis(intended_ms),
+        answered: Duration::from_millis(answered_ms),
+        outcome,
+        served: outcome == Outcome::Ran,
+        inside: true,
+        statements: 1,
+        failures: Vec::new(),
+    }
+}
+
+#[test]
+fn summary_counts_waiting_time_and_only_refusals_inside_the_contract() {
+    let mut samples = [
+        sample(Kind::Read, 0, 100, Outcome::Ran),
+        sample(Kind::Write, 0, 10, Outcome::Ran),
+        sample(Kind::Write, 0, 10, Outcome::Unknown),
+        sample(Kind::Read, 0, 10, Outcome::NotRun),
+    ];
+    samples[2].inside = false;
+    let failed = |refused, inside, outcome| FailedAttempt {
+        code: "53300".to_owned(),
+        refused,
+        outcome,
+        inside,
+    };
+    samples[3].failures = vec![
+        failed(true, true, Outcome::NotRun),
+        failed(true, false, Outcome::NotRun),
+        failed(true, true, Outcome::Unknown),
+        failed(false, true, Outcome::NotRun),
+    ];
+    let summary = Summary::of("org-a".to_owned(), &samples.iter().collect::<Vec<_>>());
+    assert_eq!((summary.offered, summary.inside, summary.served), (4, 3, 2));
+    assert_eq!(
+        (summary.wrongful, summary.unknown, summary.failures["53300"]),
+        (1, 1, 4)
+    );
+    assert!((summary.ratio - 2.0 / 3.0).abs() < 1e-9);
+    assert!(
+        (summary.reads.max_ms - 100.0).abs() < 0.2,
+        "{}",
+        summary.reads.max_ms
+    );
+}
+
+#[test]
+fn failover_gap_ignores_answers_in_transit_and_writes_that_were_not_acknowledged() {
+    let fault = Injected {
+        at: Duration::from_millis(1000),
+        action: FaultAction::KillPrimary {
+            database: "db".to_owned(),
+        },
+        process: Some("m1".to_owned()),
+        error: None,
+    };
+    let mut samples: Vec<Sample> = (0..100)
+        .map(|n| sample(Kind::Write, 0, 10 * n, Outcome::Ran))
+        .collect();
+    samples.push(sample(Kind::Write, 0, 1003, Outcome::Ran));
+    samples.push(sample(Kind::Write, 0, 1500, Outcome::Unknown));
+    samples.push(sample(Kind::Read, 0, 1600, Outcome::Ran));
+    let measure = |samples: &[Sample]| {
+        failover::measure(&fault, "db", &samples.iter().collect::<Vec<_>>()).gap_ms
+    };
+    assert_eq!(measure(&samples[..100]), None);
+    samples.push(sample(Kind::Transaction, 0, 2503, Outcome::Ran));
+    samples.push(sample(Kind::Write, 0, 2510, Outcome::Ran));
+    assert_eq!(measure(&samples), Some(1500.0));
+}
+
+#[test]
+fn comparison_gives_medians_ranges_and_ratios_to_the_first_variant() {
+    let report = |variant: &str, share: f64| Report {
+        scenario: "s".to_owned(),
+        variant: variant.to_owned(),
+        repeat: 0,
+        seed: 1,
+        length_ms: 1,
+        organisations: Vec::new(),
+        reads: ReadShare {
+            primaries: 1,
+            replicas: 1,
+            share,
+        },
+        failovers: Vec::new(),
+        faults: Vec::new(),
+        verdict: Verdict {
+            records: 0,
+            violations: Vec::new(),
+        },
+    };
+    let reports = [
+        report("a", 0.9),
+        report("b", 0.1),
+        report("a", 0.2),
+        report("b", 0.6),
+        report("a", 0.4),
+        report("b", 0.2),
+    ];
+    let comparison = Comparison::of(&reports);
+    assert_eq!((comparison.repeats, comparison.variants.len()), (3, 2));
+    let shares = &comparison.rows[0];
+    assert_eq!(shares.medians, [Some(0.4), Some(0.2)]);
+    assert_eq!(shares.ratios, [Some(1.0), Some(0.5)]);
+    assert_eq!(shares.ranges, [Some((0.2, 0.9)), Some((0.1, 0.6))]);
+    let gaps = &comparison.rows[1];
+    assert_eq!((gaps.medians[0], gaps.ratios[0]), (None, None));
+}
+
+#[test]
+fn scenario_files_are_valid() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let mut count = 0;
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let scenario: Scenario = settings::load(&path).unwrap();
+        scenario.validate().unwrap();
+        count += 1;
+    }
+    assert!(count > 0);
+}
