End load runs on SIGINT and pause after a failed accept

A SIGINT killed the tool before it could remove its temporary folder, and the fault proxy spun when accept failed for lack of files.

--- a/crates/bench/src/bin/load.rs
+++ b/crates/bench/src/bin/load.rs
@@ -82,6 +82,7 @@
         experiment = runs => experiment?,
         // Dropping the runs ends the processes that they started.
         _ = stop.recv() => return Err(LoadError::Stopped),
+        _ = tokio::signal::ctrl_c() => return Err(LoadError::Stopped),
     };
     if experiment.reports.len() > 1 {
         println!("\n{}", experiment.comparison);
--- a/crates/bench/src/bin/quickstart.rs
+++ b/crates/bench/src/bin/quickstart.rs
@@ -64,6 +64,7 @@
     let experiment = tokio::select! {
         experiment = runs => experiment?,
         _ = stop.recv() => return Err(LoadError::Stopped),
+        _ = tokio::signal::ctrl_c() => return Err(LoadError::Stopped),
     };
     Ok(experiment.reports.iter().all(|report| {
         let replaced = report
--- a/crates/bench/src/fault/tcp.rs
+++ b/crates/bench/src/fault/tcp.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -15,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 use crate::fault::counts::Counts;
@@ -29,6 +31,9 @@
 /// Chunks in flight per direction; beyond it the sender meets TCP's own back-pressure.
 const IN_FLIGHT: usize = 256;
 
+/// Wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Accepts connections until the link's handle is dropped.
 pub(super) async fn serve(
     listener: TcpListener,
@@ -40,7 +45,11 @@
         let (client, peer) = tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok(accepted) => accepted,
-                Err(_) => continue,
+                Err(_) => {
+                    // Usually too many open files, which lasts until others are closed.
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
             },
             () = closed(&mut state) => return,
         };
