--- a/crates/bench/src/load/comparison.rs
+++ b/crates/bench/src/load/comparison.rs
@@ -31,7 +31,7 @@
         value: |report| report.worst().map(|worst| worst.all.p99_ms),
     },
     Measure {
-        name: "wrongful failures",
+        name: "wrongful refusals",
         value: |report| Some(report.wrongful() as f64),
     },
     Measure {
