Look up the process of a connection by socket diagnosis

Reading /proc/net/tcp takes 7 ms with a hash table of 262144 buckets, which delayed each new connection and used 60% of a core in the quickstart.

--- a/crates/bench/src/fault/mod.rs
+++ b/crates/bench/src/fault/mod.rs
@@ -16,6 +16,7 @@
 pub mod protocol;
 pub mod proxy;
 pub mod settings;
+mod socket_inode;
 pub mod source;
 pub mod sources;
 pub mod state;
--- a/crates/bench/src/fault/sources.rs
+++ b/crates/bench/src/fault/sources.rs
@@ -6,13 +6,13 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use crate::fault::socket_inode;
 use crate::fault::source::Source;
 
 /// Known processes by name; clones share them.
@@ -25,11 +25,28 @@
         self.lock().insert(name, source);
     }
 
-    /// Name of the process that opened a TCP connection from `peer` on this machine.
-    pub async fn of_tcp(&self, peer: SocketAddr) -> Option<String> {
-        let sources = self.lock().clone();
+    /// Name of the process, one of `names`, that opened the TCP connection from `peer` to `listen`
+    /// on this machine.
+    pub async fn of_tcp(
+        &self,
+        peer: SocketAddr,
+        listen: SocketAddr,
+        names: Vec<String>,
+    ) -> Option<String> {
+        let (SocketAddr::V4(peer), SocketAddr::V4(listen)) = (peer, listen) else {
+            return None;
+        };
+        let mut sources = self.lock().clone();
+        sources.retain(|name, _| names.contains(name));
         let find = move || {
-            let socket = format!("socket:[{}]", inode(peer)?);
+            let inode = match socket_inode::find(peer, listen) {
+                Ok(inode) => inode?,
+                Err(error) => {
+                    tracing::error!(event = 501, %error, "the delay of a connection is unknown");
+                    return None;
+                }
+            };
+            let socket = format!("socket:[{inode}]");
             let found = sources
                 .iter()
                 .find(|(_, source)| holds(source.process, &socket));
@@ -50,24 +67,6 @@
     }
 }
 
-/// Inode of the TCP socket with this local address.
-fn inode(local: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(local) = local else {
-        return None;
-    };
-    let wanted = proc_form(local);
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let mut lines = table.lines().map(|line| line.split_whitespace());
-    let mut line = lines.find(|line| line.clone().nth(1) == Some(&wanted))?;
-    line.nth(9).map(str::to_owned)
-}
-
-/// Address as /proc/net/tcp writes it: the four bytes as a number of this machine.
-fn proc_form(address: SocketAddrV4) -> String {
-    let ip = u32::from_ne_bytes(address.ip().octets());
-    format!("{ip:08X}:{:04X}", address.port())
-}
-
 fn holds(process: u32, socket: &str) -> bool {
     let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
         return false;
--- a/crates/bench/src/fault/tcp.rs
+++ b/crates/bench/src/fault/tcp.rs
@@ -56,11 +56,10 @@
         let number = counts.accepted.fetch_add(1, Relaxed);
         let (state, counts, sources) = (state.clone(), counts.clone(), sources.clone());
         tokio::spawn(async move {
-            let known = !state.borrow().delays.is_empty();
-            let source = if known {
-                sources.of_tcp(peer).await
-            } else {
-                None
+            let names: Vec<_> = state.borrow().delays.keys().cloned().collect();
+            let source = match client.local_addr() {
+                Ok(listen) if !names.is_empty() => sources.of_tcp(peer, listen, names).await,
+                _ => None,
             };
             connection(client, number, source, state, &counts).await;
         });
