--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -14,6 +14,7 @@
 pub mod fault_plan;
 pub mod injector;
 pub mod organisation;
+pub mod phase;
 pub mod prepare;
 pub mod reads;
 pub mod report;
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -7,6 +7,8 @@
 use crate::history::verdict::Verdict;
 use crate::load::failover::Failover;
 use crate::load::fault_plan::Injected;
+use crate::load::phase::Phase;
+use crate::load::phase::PhaseReport;
 use crate::load::reads::ReadShare;
 use crate::load::summary::Summary;
 
@@ -19,6 +21,7 @@
     pub seed: u64,
     pub length_ms: u64,
     pub organisations: Vec<Summary>,
+    pub phases: Vec<PhaseReport>,
     pub reads: ReadShare,
     pub failovers: Vec<Failover>,
     pub faults: Vec<Injected>,
@@ -29,11 +32,7 @@
     /// Organisation with the lowest ratio of served to offered inside its contract; of equal
     /// ones that with the highest 99th percentile.
     pub fn worst(&self) -> Option<&Summary> {
-        let order = |summary: &&Summary| (summary.ratio, -summary.all.p99_ms);
-        self.organisations.iter().min_by(|a, b| {
-            let ((ratio_a, p99_a), (ratio_b, p99_b)) = (order(a), order(b));
-            ratio_a.total_cmp(&ratio_b).then(p99_a.total_cmp(&p99_b))
-        })
+        worst(&self.organisations)
     }
 
     /// Longest failover gap; infinite if a database had no acknowledged write after its fault.
@@ -59,6 +58,14 @@
     }
 }
 
+/// Organisation with the lowest ratio; of equal ones that with the highest 99th percentile.
+fn worst(organisations: &[Summary]) -> Option<&Summary> {
+    organisations.iter().min_by(|a, b| {
+        let by_ratio = a.ratio.total_cmp(&b.ratio);
+        by_ratio.then(b.all.p99_ms.total_cmp(&a.all.p99_ms))
+    })
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -131,6 +138,32 @@
             let gap = gap.unwrap_or_else(|| "no acknowledged write after it".to_owned());
             writeln!(f, "failover gap of {}: {gap}", failover.database)?;
         }
+        for part in &self.phases {
+            let Phase {
+                name,
+                from_ms,
+                to_ms,
+            } = &part.phase;
+            write!(f, "phase {name} ({from_ms}..{to_ms} ms): ")?;
+            let sum =
+                |count: fn(&Summary) -> u64| part.organisations.iter().map(count).sum::<u64>();
+            write!(
+                f,
+                "{} served of {} inside",
+                sum(|s| s.served),
+                sum(|s| s.inside)
+            )?;
+            write!(f, ", {} wrongful refusals", sum(|s| s.wrongful))?;
+            if let Some(worst) = worst(&part.organisations) {
+                let (name, p99) = (&worst.organisation, worst.all.p99_ms);
+                write!(
+                    f,
+                    ", worst {name} (ratio {:.3}, p99 {p99:.1} ms)",
+                    worst.ratio
+                )?;
+            }
+            writeln!(f)?;
+        }
         if let Some(worst) = self.worst() {
             writeln!(
                 f,
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -29,6 +29,7 @@
 use crate::load::fault_plan::Injected;
 use crate::load::injector;
 use crate::load::organisation::OrganisationPlan;
+use crate::load::phase::PhaseReport;
 use crate::load::prepare;
 use crate::load::reads;
 use crate::load::reads::ReadShare;
@@ -249,6 +250,9 @@
             let own: Vec<_> = samples.iter().filter(|s| s.database == index).collect();
             Some(failover::measure(fault, name, &own))
         });
+    let names = scenario.organisations.iter().map(|plan| plan.name.clone());
+    let names: Vec<_> = names.collect();
+    let phase = |phase| PhaseReport::of(phase, &names, samples);
     Report {
         scenario: scenario.name.clone(),
         variant: variant.name.clone(),
@@ -256,6 +260,7 @@
         seed: options.seed,
         length_ms: scenario.length_ms,
         organisations: organisations.collect(),
+        phases: scenario.phases.iter().map(phase).collect(),
         failovers: failovers.collect(),
         reads,
         faults,
--- a/crates/bench/src/load/scenario.rs
+++ b/crates/bench/src/load/scenario.rs
@@ -15,6 +15,7 @@
 use crate::load::error::LoadError;
 use crate::load::fault_plan::FaultPlan;
 use crate::load::organisation::OrganisationPlan;
+use crate::load::phase::Phase;
 
 /// A scenario: fleet, load, faults, and the variants to compare.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -36,6 +37,9 @@
     pub organisations: Vec<OrganisationPlan>,
     #[serde(default)]
     pub faults: Vec<FaultPlan>,
+    /// Parts of the run that are also reported on their own.
+    #[serde(default)]
+    pub phases: Vec<Phase>,
     /// Compared with the first one; a single unchanged one if empty.
     #[serde(default)]
     pub variants: Vec<Variant>,
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -15,6 +15,8 @@
 use magnoliahatch_bench::load::fault_plan::Injected;
 use magnoliahatch_bench::load::organisation::Offer;
 use magnoliahatch_bench::load::organisation::OrganisationPlan;
+use magnoliahatch_bench::load::phase::Phase;
+use magnoliahatch_bench::load::phase::PhaseReport;
 use magnoliahatch_bench::load::reads::ReadShare;
 use magnoliahatch_bench::load::report::Report;
 use magnoliahatch_bench::load::sample::FailedAttempt;
@@ -192,6 +194,7 @@
         seed: 1,
         length_ms: 1,
         organisations: Vec::new(),
+        phases: Vec::new(),
         reads: ReadShare {
             primaries: 1,
             replicas: 1,
@@ -234,3 +237,30 @@
     }
     assert!(count > 0);
 }
+
+#[test]
+fn phase_counts_operations_by_the_time_at_which_they_were_due() {
+    let mut samples = vec![
+        sample(Kind::Read, 999, 1500, Outcome::Ran),
+        sample(Kind::Read, 1000, 1010, Outcome::Ran),
+        sample(Kind::Read, 1999, 2500, Outcome::NotRun),
+        sample(Kind::Read, 2000, 2010, Outcome::Ran),
+    ];
+    samples.push(Sample {
+        organisation: 1,
+        ..samples[1].clone()
+    });
+    let phase = Phase {
+        name: "p".to_owned(),
+        from_ms: 1000,
+        to_ms: 2000,
+    };
+    let names = ["org-a".to_owned(), "org-b".to_owned()];
+    let report = PhaseReport::of(&phase, &names, &samples);
+    let counts: Vec<_> = report
+        .organisations
+        .iter()
+        .map(|s| (s.offered, s.served))
+        .collect();
+    assert_eq!(counts, [(2, 1), (1, 1)]);
+}
