Count calls and bytes to the store and of platform verbs

The metrics of the administration API lacked what a daemon spends on the store and on probes, so control traffic could not be added up. GET /metrics now also gives store calls and bytes, verb calls, bytes and connections, processor time of all threads, the revision in force, and the numbers of sessions and databases.

--- a/crates/client/src/store.rs
+++ b/crates/client/src/store.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::Revision;
@@ -21,6 +23,24 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Added to a watch's own waiting time for the answer to arrive.
 const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+/// Calls of a client and its clones since it was opened.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreTraffic {
+    /// A watch counts once.
+    pub calls: u64,
+    /// Bytes of URLs and bodies, without HTTP headers.
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    calls: AtomicU64,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
 /// Handle to the store; clones share one connection pool.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -28,6 +48,7 @@
     /// Replaced when a call fails. When a link goes silent, every pooled connection would otherwise
     /// cost one call limit before a new one is opened.
     http: Arc<RwLock<reqwest::Client>>,
+    counters: Arc<Counters>,
 }
 
 impl StoreClient {
@@ -36,9 +57,20 @@
         Ok(Self {
             base: base.trim_end_matches('/').to_owned(),
             http: Arc::new(RwLock::new(pool().map_err(StoreError::Unavailable)?)),
+            counters: Arc::default(),
         })
     }
 
+    /// What the client and its clones have called so far.
+    pub fn traffic(&self) -> StoreTraffic {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        StoreTraffic {
+            calls: read(&self.counters.calls),
+            sent_bytes: read(&self.counters.sent_bytes),
+            received_bytes: read(&self.counters.received_bytes),
+        }
+    }
+
     /// Reads one object.
     pub async fn get(&self, kind: &str, name: &str) -> Result<StoredObject, StoreError> {
         let url = self.object_url(kind, name);
@@ -48,13 +80,13 @@
         if answer.status() == StatusCode::NOT_FOUND {
             return Err(not_found(kind, name));
         }
-        decode(answer).await
+        self.decode(answer).await
     }
 
     /// Lists all objects of a kind with the store's revision.
     pub async fn list(&self, kind: &str) -> Result<ObjectList, StoreError> {
         let url = format!("{}/objects/{kind}", self.base);
-        decode(
+        self.decode(
             self.send(|http| http.get(url).timeout(CALL_TIMEOUT))
                 .await?,
         )
@@ -126,7 +158,7 @@
         if answer.status() == StatusCode::CONFLICT {
             return Err(conflict(kind, name, expected, answer).await);
         }
-        decode(answer).await
+        self.decode(answer).await
     }
 
     /// Deletes an object if its version is still `expected`.
@@ -177,7 +209,7 @@
                 .query(&[("after", after), ("wait_ms", wait_ms)])
                 .timeout(wait + WATCH_SLACK)
         };
-        decode(self.send(request).await?).await
+        self.decode(self.send(request).await?).await
     }
 
     async fn send(
@@ -189,7 +221,14 @@
             .read()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        let failure = match request(&http).send().await {
+        let request = request(&http).build().map_err(StoreError::Unavailable)?;
+        let body = request.body().and_then(|body| body.as_bytes());
+        let sent = request.url().as_str().len() + body.map_or(0, <[u8]>::len);
+        self.counters.calls.fetch_add(1, Ordering::Relaxed);
+        self.counters
+            .sent_bytes
+            .fetch_add(sent as u64, Ordering::Relaxed);
+        let failure = match http.execute(request).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
@@ -199,6 +238,20 @@
         Err(StoreError::Unavailable(failure))
     }
 
+    async fn decode<T: DeserializeOwned>(
+        &self,
+        answer: reqwest::Response,
+    ) -> Result<T, StoreError> {
+        let body = success(answer)?
+            .bytes()
+            .await
+            .map_err(StoreError::Unavailable)?;
+        self.counters
+            .received_bytes
+            .fetch_add(body.len() as u64, Ordering::Relaxed);
+        Ok(serde_json::from_slice(&body)?)
+    }
+
     fn object_url(&self, kind: &str, name: &str) -> String {
         // A placement's name contains a slash, which must not become a path separator.
         format!("{}/objects/{kind}/{}", self.base, name.replace('/', "%2F"))
@@ -212,14 +265,6 @@
         .build()
 }
 
-async fn decode<T: DeserializeOwned>(answer: reqwest::Response) -> Result<T, StoreError> {
-    let body = success(answer)?
-        .bytes()
-        .await
-        .map_err(StoreError::Unavailable)?;
-    Ok(serde_json::from_slice(&body)?)
-}
-
 /// Status 5xx counts as unavailable: the store has not judged the request.
 fn success(answer: reqwest::Response) -> Result<reqwest::Response, StoreError> {
     let status = answer.status();
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -55,17 +55,12 @@
 
     /// Processor time that the thread has used; none where the system does not tell.
     pub fn cpu() -> Option<Duration> {
-        let mut total = Duration::ZERO;
-        for entry in fs::read_dir("/proc/self/task").ok()?.flatten() {
-            let name = fs::read_to_string(entry.path().join("comm")).ok()?;
-            if name.trim() == THREAD {
-                // The first field is the time on the processor in nanoseconds.
-                let stat = fs::read_to_string(entry.path().join("schedstat")).ok()?;
-                let nanos = stat.split_whitespace().next()?.parse().ok()?;
-                total += Duration::from_nanos(nanos);
-            }
-        }
-        Some(total)
+        threads_cpu(|name| name == THREAD)
+    }
+
+    /// Processor time that all threads have used; none where the system does not tell.
+    pub fn process_cpu() -> Option<Duration> {
+        threads_cpu(|_| true)
     }
 
     /// Resident memory of the process in bytes; none where the system does not tell.
@@ -85,3 +80,23 @@
         }
     }
 }
+
+/// Processor time of the threads whose name is wanted.
+fn threads_cpu(wanted: impl Fn(&str) -> bool) -> Option<Duration> {
+    let mut total = Duration::ZERO;
+    for entry in fs::read_dir("/proc/self/task").ok()?.flatten() {
+        // A thread may end between the listing and these reads.
+        let Ok(name) = fs::read_to_string(entry.path().join("comm")) else {
+            continue;
+        };
+        let Ok(stat) = fs::read_to_string(entry.path().join("schedstat")) else {
+            continue;
+        };
+        if wanted(name.trim()) {
+            // The first field is the time on the processor in nanoseconds.
+            let nanos = stat.split_whitespace().next()?.parse().ok()?;
+            total += Duration::from_nanos(nanos);
+        }
+    }
+    Some(total)
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -130,6 +130,7 @@
         Arc::clone(&context),
         Arc::clone(&config),
         mesh.as_ref().map(|(mesh, _)| mesh.clone()),
+        store.clone(),
     );
     let admin = {
         let (listen, store, views) = (settings.listen.admin, store.clone(), views.clone());
--- a/crates/daemon/src/front/cancel.rs
+++ b/crates/daemon/src/front/cancel.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Number of registered sessions.
+    pub(crate) fn len(&self) -> usize {
+        self.slots
+            .lock()
+            .expect("no holder of this lock panics")
+            .len()
+    }
+
     pub(crate) fn remove(&self, key: CallerKey) {
         let mut slots = self.slots.lock().expect("no holder of this lock panics");
         slots.remove(&key);
--- a/crates/daemon/src/pool/connection.rs
+++ b/crates/daemon/src/pool/connection.rs
@@ -48,6 +48,8 @@
     pub position: Option<LogPosition>,
     /// When the member last sent anything.
     pub heard: Instant,
+    /// Bytes of the messages sent and received since the start of the session.
+    pub traffic: (u64, u64),
     /// Place in the pool's count of open connections.
     pub(crate) slot: Option<OpenSlot>,
 }
@@ -90,6 +92,7 @@
             link: Link::fresh(),
             position: None,
             heard: Instant::now(),
+            traffic: (raw.len() as u64, 0),
             slot: None,
         };
         loop {
@@ -107,6 +110,7 @@
 
     /// Queues a message and sends when enough is queued.
     pub async fn feed(&mut self, frame: Frame) -> Result<(), FrameError> {
+        self.traffic.0 += frame.raw().len() as u64;
         self.frames.feed(frame).await
     }
 
@@ -121,6 +125,7 @@
             return Ok(None);
         };
         self.heard = Instant::now();
+        self.traffic.1 += frame.raw().len() as u64;
         if frame.tag() == tag::PARAMETER_STATUS {
             let (name, value) = fields::parameter(&frame)?;
             if name == POSITION {
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -8,6 +8,7 @@
 use magnoliahatch_client::admin::HostReport;
 use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
 use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
+use magnoliahatch_client::store::StoreClient;
 use magnoliahatch_core::ids::DatabaseId;
 
 use crate::admin::hooks::Hooks;
@@ -18,6 +19,7 @@
 use crate::front::context::Context;
 use crate::mesh::Mesh;
 use crate::peers::fleet::Fleet;
+use crate::verb_stats::VERBS;
 
 /// Age after which a peer's announcement is not taken for its state.
 const REPORT_AGE: Duration = Duration::from_secs(4);
@@ -31,6 +33,7 @@
     context: Arc<Context>,
     config: Arc<ConfigHandle>,
     mesh: Option<Mesh>,
+    store: StoreClient,
 }
 
 impl Report {
@@ -39,12 +42,14 @@
         context: Arc<Context>,
         config: Arc<ConfigHandle>,
         mesh: Option<Mesh>,
+        store: StoreClient,
     ) -> Self {
         Self {
             fleet,
             context,
             config,
             mesh,
+            store,
         }
     }
 
@@ -87,7 +92,7 @@
         }
     }
 
-    /// Counters of the control tasks, one `name value` per line.
+    /// Counters of the daemon, one `name value` per line.
     fn metrics(&self) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u128| {
@@ -98,6 +103,9 @@
         if let Some(cpu) = Control::cpu() {
             line("control_cpu_us", cpu.as_micros());
         }
+        if let Some(cpu) = Control::process_cpu() {
+            line("process_cpu_us", cpu.as_micros());
+        }
         if let Some(resident) = Control::resident() {
             line("resident_bytes", resident.into());
         }
@@ -112,6 +120,18 @@
             line("mesh_dropped_frames", stats.dropped.into());
             line("mesh_refused_frames", stats.refused.into());
         }
+        let store = self.store.traffic();
+        line("store_calls", store.calls.into());
+        line("store_sent_bytes", store.sent_bytes.into());
+        line("store_received_bytes", store.received_bytes.into());
+        let verbs = VERBS.snapshot();
+        line("verb_calls", verbs.calls.into());
+        line("verb_connections", verbs.opened.into());
+        line("verb_sent_bytes", verbs.sent_bytes.into());
+        line("verb_received_bytes", verbs.received_bytes.into());
+        line("revision", self.config.view().revision.into());
+        line("sessions", self.context.cancels.len() as u128);
+        line("databases", self.context.directory.all().len() as u128);
         for database in self.context.directory.all() {
             let name = &database.name;
             line(
--- a/crates/daemon/src/verbs.rs
+++ b/crates/daemon/src/verbs.rs
@@ -12,6 +12,7 @@
 
 use crate::pool::connection::Connection;
 use crate::pool::open_error::OpenError;
+use crate::verb_stats::VERBS;
 
 /// User of control connections.
 const CONTROL_USER: &str = "platform";
@@ -53,6 +54,8 @@
         deadline: Instant,
     ) -> Result<Self, VerbError> {
         let connection = Connection::open(address, CONTROL_USER, database, deadline).await?;
+        VERBS.on_opened();
+        VERBS.on_traffic(connection.traffic.0, connection.traffic.1);
         Ok(Self { connection })
     }
 
@@ -89,10 +92,13 @@
     }
 
     async fn row(&mut self, sql: &str, deadline: Instant) -> Result<Vec<String>, VerbError> {
+        VERBS.on_call();
+        let before = self.connection.traffic;
         let call = self.connection.rows(sql);
-        let rows = tokio::time::timeout_at(deadline.into(), call)
-            .await
-            .map_err(|_| VerbError::Timeout)??;
+        let rows = tokio::time::timeout_at(deadline.into(), call).await;
+        let after = self.connection.traffic;
+        VERBS.on_traffic(after.0 - before.0, after.1 - before.1);
+        let rows = rows.map_err(|_| VerbError::Timeout)??;
         let row = rows.into_iter().next().unwrap_or_default();
         Ok(row.into_iter().map(Option::unwrap_or_default).collect())
     }
