--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform, fault proxy, load tool, history checker and process harness.
 
+pub mod capacity;
 pub mod fault;
 pub mod harness;
 pub mod history;
