Call platform_status as a prepared statement

Probes are most of the control traffic, and the answer to a simple query describes its seven columns each time. The statement is now parsed once per control connection.

The daemon's election, mesh and limits_fleet tests and the path tests pass.

--- a/crates/daemon/src/pool/connection.rs
+++ b/crates/daemon/src/pool/connection.rs
@@ -147,6 +147,24 @@
         self.read_rows().await
     }
 
+    /// Runs a statement without parameters that is parsed only once, under `name`. Its answer
+    /// carries no description of the columns.
+    pub async fn prepared_rows(
+        &mut self,
+        name: &str,
+        sql: &str,
+        parsed: bool,
+    ) -> Result<Vec<Vec<Option<String>>>, OpenError> {
+        if !parsed {
+            self.feed(reply::parse(name, sql)).await?;
+        }
+        for frame in reply::run(name) {
+            self.feed(frame).await?;
+        }
+        self.flush().await?;
+        self.read_rows().await
+    }
+
     /// Reads the answer to a simple query up to ReadyForQuery.
     pub async fn read_rows(&mut self) -> Result<Vec<Vec<Option<String>>>, OpenError> {
         let mut rows = Vec::new();
--- a/crates/daemon/src/verbs.rs
+++ b/crates/daemon/src/verbs.rs
@@ -16,6 +16,9 @@
 
 /// User of control connections.
 const CONTROL_USER: &str = "platform";
+/// The most frequent verb, and its name as a prepared statement.
+const STATUS: &str = "SELECT * FROM platform_status()";
+const STATUS_NAME: &str = "s";
 
 /// Why a verb failed.
 #[derive(Debug, Error)]
@@ -44,6 +47,8 @@
 #[derive(Debug)]
 pub struct Verbs {
     connection: Connection,
+    /// Whether `STATUS` has been parsed on the connection.
+    parsed: bool,
 }
 
 impl Verbs {
@@ -56,14 +61,22 @@
         let connection = Connection::open(address, CONTROL_USER, database, deadline).await?;
         VERBS.on_opened();
         VERBS.on_traffic(connection.traffic.0, connection.traffic.1);
-        Ok(Self { connection })
+        Ok(Self {
+            connection,
+            parsed: false,
+        })
     }
 
     /// State of the member's log.
     pub async fn status(&mut self, deadline: Instant) -> Result<MemberStatus, VerbError> {
+        // Two thirds of the bytes of a simple query's answer would describe the columns.
+        let parsed = self.parsed;
         let row = self
-            .row("SELECT * FROM platform_status()", deadline)
+            .measured(deadline, async |connection| {
+                connection.prepared_rows(STATUS_NAME, STATUS, parsed).await
+            })
             .await?;
+        self.parsed = true;
         read_status(&row).ok_or(VerbError::Answer("platform_status"))
     }
 
@@ -92,9 +105,19 @@
     }
 
     async fn row(&mut self, sql: &str, deadline: Instant) -> Result<Vec<String>, VerbError> {
+        self.measured(deadline, async |connection| connection.rows(sql).await)
+            .await
+    }
+
+    /// Makes a call and counts it; returns the columns of its one row.
+    async fn measured(
+        &mut self,
+        deadline: Instant,
+        call: impl AsyncFnOnce(&mut Connection) -> Result<Vec<Vec<Option<String>>>, OpenError>,
+    ) -> Result<Vec<String>, VerbError> {
         VERBS.on_call();
         let before = self.connection.traffic;
-        let call = self.connection.rows(sql);
+        let call = call(&mut self.connection);
         let rows = tokio::time::timeout_at(deadline.into(), call).await;
         let after = self.connection.traffic;
         VERBS.on_traffic(after.0 - before.0, after.1 - before.1);
--- a/crates/daemon/src/wire/reply.rs
+++ b/crates/daemon/src/wire/reply.rs
@@ -30,6 +30,31 @@
     Frame::of(&Query::new(sql.to_owned()))
 }
 
+/// Parse of a statement without parameters.
+pub fn parse(name: &str, sql: &str) -> Frame {
+    let mut body = name.as_bytes().to_vec();
+    body.push(0);
+    body.extend_from_slice(sql.as_bytes());
+    // Terminator and no parameter types.
+    body.extend_from_slice(&[0, 0, 0]);
+    Frame::new(tag::PARSE, &body)
+}
+
+/// Bind, Execute and Sync of a statement without parameters; the columns come as text.
+pub fn run(name: &str) -> [Frame; 3] {
+    // The unnamed portal, then the statement.
+    let mut bind = vec![0];
+    bind.extend_from_slice(name.as_bytes());
+    // Terminator; no parameter formats, parameters or result formats.
+    bind.extend_from_slice(&[0; 7]);
+    [
+        Frame::new(tag::BIND, &bind),
+        // The unnamed portal without a limit of rows.
+        Frame::new(tag::EXECUTE, &[0; 5]),
+        Frame::new(tag::SYNC, &[]),
+    ]
+}
+
 /// ErrorResponse whose DETAIL tells what became of the request.
 pub fn error(severity: &str, code: &str, message: &str, outcome: Outcome, hint: &str) -> Frame {
     let mut fields = vec![
