End sessions of a leaving host in a quiet moment; bound the wait for request ids

Sessions of a leaving host now end after 100 ms without a request, or at the next request after 3 s, and the last message is not lost to a reset.

--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
 use tokio_util::codec::Framed;
 
 use crate::wire::frame::Frame;
@@ -54,6 +55,19 @@
             .await
             .map_err(|_| stalled())?
     }
+
+    /// Sends a last message and waits for the caller to close. Closing first would reset the
+    /// connection if a request has arrived meanwhile, and the message could be lost.
+    pub(crate) async fn close(&mut self, last: Frame, deadline: Instant) {
+        let closing = async {
+            self.frames.send(last).await?;
+            self.frames.get_mut().shutdown().await?;
+            while self.frames.next().await.is_some_and(|read| read.is_ok()) {}
+            Ok::<(), FrameError>(())
+        };
+        // The session is over, whether or not the caller was reached.
+        let _ = tokio::time::timeout_at(deadline.into(), closing).await;
+    }
 }
 
 fn stalled() -> FrameError {
--- a/crates/daemon/src/front/exchange.rs
+++ b/crates/daemon/src/front/exchange.rs
@@ -108,7 +108,7 @@
             connection.flush().await
         };
         let result = match tokio::time::timeout_at(attempt.deadline.into(), sending).await {
-            Ok(Ok(())) if before.is_some() => match read_before(lease, attempt).await {
+            Ok(Ok(())) if before.is_some() => match read_before(lease).await {
                 Ok(()) => relay.run(lease, &mut self.client, attempt.to_ready).await,
                 Err(error) => Err(RelayError::Before(error)),
             },
@@ -134,7 +134,7 @@
 }
 
 /// Reads the answer to the statements before a request; if they failed, also its own answer.
-async fn read_before(lease: &mut Lease, attempt: &Attempt) -> Result<(), OpenError> {
+async fn read_before(lease: &mut Lease) -> Result<(), OpenError> {
     let connection = lease.connection();
     let reading = async {
         let before = connection.read_rows().await;
@@ -143,7 +143,7 @@
         }
         before.map(drop)
     };
-    match tokio::time::timeout_at(attempt.deadline.into(), reading).await {
+    match tokio::time::timeout(SETUP_TIMEOUT, reading).await {
         Ok(result) => result,
         Err(_) => Err(OpenError::Timeout),
     }
--- a/crates/daemon/src/front/listener.rs
+++ b/crates/daemon/src/front/listener.rs
@@ -17,6 +17,7 @@
 use crate::front::client::Stream;
 use crate::front::context::Context;
 use crate::front::refusal::Refusal;
+use crate::front::session::GOODBYE;
 use crate::front::session::Session;
 use crate::front::startup;
 use crate::front::startup::Opening;
@@ -141,9 +142,7 @@
     let mut session = Session::new(Arc::clone(&context), client, identity);
     for (name, value) in &parameters.variables {
         if let Err(refusal) = session.set_at_start(name, value) {
-            let frame = refusal.frame(true);
-            let _ = session.client.feed(frame, deadline).await;
-            let _ = session.client.flush(deadline).await;
+            session.client.close(refusal.frame(true), deadline).await;
             return None;
         }
     }
@@ -182,7 +181,6 @@
 async fn refuse(mut client: Client, refusal: &Refusal, context: &Context, deadline: Instant) {
     tracing::debug!(event = 206, code = refusal.code(), %refusal, "connection refused");
     context.metrics.refusal("", refusal.code());
-    if client.feed(refusal.frame(true), deadline).await.is_ok() {
-        let _ = client.flush(deadline).await;
-    }
+    let limit = deadline.min(Instant::now() + GOODBYE);
+    client.close(refusal.frame(true), limit).await;
 }
--- a/crates/daemon/src/front/own.rs
+++ b/crates/daemon/src/front/own.rs
@@ -4,6 +4,7 @@
 
 use magnoliahatch_client::objects::kind;
 use magnoliahatch_core::class::Class;
+use magnoliahatch_core::classify;
 use magnoliahatch_core::position::LogPosition;
 use magnoliahatch_core::session::TxStatus;
 use magnoliahatch_core::token;
@@ -66,6 +67,27 @@
         }
     }
 
+    /// Sets a variable from the startup message.
+    pub(crate) fn set_at_start(&mut self, name: &str, value: &str) -> Result<(), Refusal> {
+        let quoted = format!("'{}'", value.replace('\'', "''"));
+        let sql = format!("SET {name} = {quoted}");
+        let class = classify::classify(&sql)?.into_iter().next();
+        match class {
+            Some(Class::Set(change)) if change.is_own() => self.set_own(&SetVariable {
+                value: Some(quoted),
+                ..change
+            }),
+            Some(Class::Set(change)) => {
+                self.state.set_variable(change.name, quoted);
+                Ok(())
+            }
+            _ => Err(Refusal::Variable {
+                name: name.to_owned(),
+                reason: "it cannot be set by the startup message",
+            }),
+        }
+    }
+
     /// Sets one of the proxy's variables, also from the startup message.
     pub(crate) fn set_own(&mut self, change: &SetVariable) -> Result<(), Refusal> {
         let value = change.plain_value();
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -147,6 +147,9 @@
                 if has_code(&error, UNIQUE_VIOLATION) {
                     return self.answer_again(lease, work, id, attempt).await;
                 }
+                if matches!(error, OpenError::Timeout) {
+                    lease.pool().on_silence(sent);
+                }
                 if has_code(&error, UNDEFINED_TABLE) {
                     self.end_transaction(&mut lease).await?;
                     self.create_table(&mut lease).await?;
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -8,7 +8,6 @@
 use magnoliahatch_core::classify;
 use magnoliahatch_core::position::LogPosition;
 use magnoliahatch_core::session::TxStatus;
-use magnoliahatch_core::variable::SetVariable;
 use tokio::sync::watch;
 
 use crate::front::auth::Identity;
@@ -35,7 +34,12 @@
 /// Bytes that a caller may collect before Sync or Flush.
 const BATCH_LIMIT: usize = 64 * 1024 * 1024;
 /// Time to send the last message of a session.
-const GOODBYE: Duration = Duration::from_secs(2);
+pub(crate) const GOODBYE: Duration = Duration::from_secs(2);
+/// On a host that leaves, a session ends once its caller was quiet for so long, because a request
+/// that crosses the last message on its way is refused.
+const QUIET: Duration = Duration::from_millis(100);
+/// After so long, requests are refused, so that a leaving host gets no new work.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 
 /// Why a session ended.
 pub(crate) enum End {
@@ -71,6 +75,8 @@
     postponed: Option<Refusal>,
     config: watch::Receiver<Arc<magnoliahatch_client::config_view::ConfigView>>,
     stop: watch::Receiver<bool>,
+    /// When the session noticed that its host leaves service.
+    leaving: Option<Instant>,
 }
 
 impl Drop for Session {
@@ -104,6 +110,7 @@
             postponed: None,
             config,
             stop,
+            leaving: None,
         }
     }
 
@@ -121,27 +128,6 @@
         }
     }
 
-    /// Sets a variable from the startup message.
-    pub(crate) fn set_at_start(&mut self, name: &str, value: &str) -> Result<(), Refusal> {
-        let quoted = format!("'{}'", value.replace('\'', "''"));
-        let sql = format!("SET {name} = {quoted}");
-        let class = classify::classify(&sql)?.into_iter().next();
-        match class {
-            Some(Class::Set(change)) if change.is_own() => self.set_own(&SetVariable {
-                value: Some(quoted),
-                ..change
-            }),
-            Some(Class::Set(change)) => {
-                self.state.set_variable(change.name, quoted);
-                Ok(())
-            }
-            _ => Err(Refusal::Variable {
-                name: name.to_owned(),
-                reason: "it cannot be set by the startup message",
-            }),
-        }
-    }
-
     /// Serves the caller until the session ends.
     pub(crate) async fn serve(mut self) {
         let end = loop {
@@ -169,8 +155,10 @@
     async fn next(&mut self) -> Result<(), End> {
         self.check()?;
         let idle = self.idle_limit();
+        let leaves = self.leaving.is_some() && self.is_between();
+        let limit = if leaves { Some(QUIET) } else { idle };
         let timer = async move {
-            match idle {
+            match limit {
                 Some(limit) => tokio::time::sleep(limit).await,
                 None => std::future::pending().await,
             }
@@ -185,6 +173,9 @@
                 return changed.map_err(|_| End::Fatal(Refusal::Draining));
             }
             () = timer => {
+                if leaves {
+                    return Err(End::Fatal(Refusal::Draining));
+                }
                 tracing::info!(
                     event = 204,
                     organisation = self.identity.organisation,
@@ -208,20 +199,29 @@
     }
 
     /// Whether the session may go on: its key, its route and, between transactions, its host.
-    fn check(&self) -> Result<(), End> {
+    fn check(&mut self) -> Result<(), End> {
         if !self.identity.is_allowed(&self.context.config.borrow()) {
             return Err(End::Fatal(Refusal::Withdrawn));
         }
-        let between = self.status() == TxStatus::Idle
-            && self.lease.is_none()
-            && self.batch.messages.is_empty()
-            && !self.skipping;
-        if between && self.context.is_draining() {
+        if !self.context.is_draining() {
+            self.leaving = None;
+            return Ok(());
+        }
+        let since = *self.leaving.get_or_insert_with(Instant::now);
+        if self.is_between() && since.elapsed() > LEAVE_LIMIT {
             return Err(End::Fatal(Refusal::Draining));
         }
         Ok(())
     }
 
+    /// Whether no transaction and no request is open.
+    fn is_between(&self) -> bool {
+        self.status() == TxStatus::Idle
+            && self.lease.is_none()
+            && self.batch.messages.is_empty()
+            && !self.skipping
+    }
+
     fn idle_limit(&self) -> Option<Duration> {
         self.lease.as_ref()?;
         let view = self.context.config.borrow();
