--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -152,7 +152,7 @@
             .arg(version())
     };
     Command::new(subject.as_str())
-        .about(format!("Take a {subject} out of service or in again"))
+        .about(format!("Take out or return: {subject}"))
         .subcommand_required(true)
         .subcommand(change("out", "Assign no new work to it"))
         .subcommand(change("in", "Assign new work to it again"))
