Check for silent connections with a control connection

In a trial with 18 connections per member, no silent connection was retired and requests waited for their 10 s deadline: the data connection that should have shown that new connections work was probably refused, because the member still counted the silent ones. A control connection is outside that limit.

--- a/crates/daemon/src/pool/member_pool.rs
+++ b/crates/daemon/src/pool/member_pool.rs
@@ -19,6 +19,7 @@
 use crate::pool::lease::Lease;
 use crate::pool::open_error::OpenError;
 use crate::pool::open_slot::OpenSlot;
+use crate::verbs::CONTROL_USER;
 
 /// User of data connections.
 const DATA_USER: &str = "proxy";
@@ -127,7 +128,8 @@
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             let limit = Instant::now() + OPEN_TIMEOUT;
-            let probe = Connection::open(pool.address, DATA_USER, &pool.database, limit).await;
+            // A data connection could be refused, since the member still counts the silent ones.
+            let probe = Connection::open(pool.address, CONTROL_USER, &pool.database, limit).await;
             if probe.is_ok() {
                 tracing::warn!(
                     event = 210,
--- a/crates/daemon/src/verbs.rs
+++ b/crates/daemon/src/verbs.rs
@@ -14,7 +14,7 @@
 use crate::pool::open_error::OpenError;
 
 /// User of control connections.
-const CONTROL_USER: &str = "platform";
+pub(crate) const CONTROL_USER: &str = "platform";
 
 /// Why a verb failed.
 #[derive(Debug, Error)]
