--- a/crates/bench/src/harness/fleet.rs
+++ b/crates/bench/src/harness/fleet.rs
@@ -258,6 +258,7 @@
                 "cert": files.certificate,
                 "key": files.key,
             },
+            "advertise": {"control": self.link(&links::control(name))?},
             "log": {"filter": "warn"},
         });
         for (field, value) in &self.plan.daemon {
@@ -296,6 +297,7 @@
                 members: members.collect::<Result<_, HarnessError>>()?,
                 connections: plan.connections,
                 slots: plan.slots,
+                member_rate: None,
             };
             objects::put(&store, kind::DATABASE, &plan.name, &database).await?;
             // Each route has the name of its database.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,21 +3,44 @@
 //! Inputs are typed events and the time now; outputs are typed actions. Nothing here performs
 //! I/O, reads a clock or draws random numbers other than those passed in.
 
+pub mod amount;
+pub mod bucket;
+pub mod claim;
 pub mod class;
 pub mod classify;
 pub mod confirm;
+pub mod coordinator;
+pub mod demand;
+pub mod drain;
+pub mod election;
+pub mod fair_queue;
 pub mod group_view;
+pub mod heartbeat;
 pub mod hold;
 pub mod ids;
+pub mod lending;
+pub mod limit;
 pub mod link;
+pub mod loan;
+pub mod max_min;
 pub mod member_view;
+pub mod message;
 pub mod outcome;
 pub mod position;
 pub mod position_ring;
 pub mod prepared;
+pub mod rendezvous;
+mod renewal;
+pub mod retry_budget;
 pub mod role;
 pub mod route;
+pub mod seat;
+pub mod seat_peer;
+pub mod seat_table;
 pub mod session;
+pub mod share;
+pub mod suspicion;
 pub mod token;
 pub mod variable;
+pub mod verb;
 mod words;
--- a/crates/daemon/src/databases/directory.rs
+++ b/crates/daemon/src/databases/directory.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::RwLock;
-use std::time::Instant;
 
 use magnoliahatch_client::config_view::ConfigView;
 use magnoliahatch_core::ids::DatabaseId;
@@ -11,14 +10,13 @@
 use tokio::sync::watch;
 
 use crate::databases::database::Database;
-use crate::limits::Limits;
+use crate::peers::fleet::Fleet;
 
 /// All database groups of the configuration, kept current.
 #[derive(Debug)]
 pub struct Directory {
     state: RwLock<State>,
-    limits: Arc<Limits>,
-    start: Instant,
+    fleet: Fleet,
 }
 
 #[derive(Debug, Default)]
@@ -30,15 +28,10 @@
 
 impl Directory {
     /// Follows the configuration until its channel closes.
-    pub fn spawn(
-        mut config: watch::Receiver<Arc<ConfigView>>,
-        limits: Arc<Limits>,
-        start: Instant,
-    ) -> Arc<Self> {
+    pub fn spawn(mut config: watch::Receiver<Arc<ConfigView>>, fleet: Fleet) -> Arc<Self> {
         let directory = Arc::new(Self {
             state: RwLock::default(),
-            limits,
-            start,
+            fleet,
         });
         directory.update(&config.borrow_and_update());
         let weak = Arc::downgrade(&directory);
@@ -87,12 +80,7 @@
         });
         for (name, wanted) in &view.databases {
             state.databases.entry(name.clone()).or_insert_with(|| {
-                Database::spawn(
-                    name.clone(),
-                    wanted.members.clone(),
-                    &self.limits,
-                    self.start,
-                )
+                Database::spawn(name.clone(), wanted.members.clone(), &self.fleet)
             });
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod config;
 pub mod confirm;
+pub mod control;
 pub mod daemon;
 pub mod databases;
 pub mod election;
@@ -11,7 +12,9 @@
 pub mod mesh;
 pub mod metrics;
 pub mod monitor;
+pub mod peers;
 pub mod pool;
+pub mod report;
 pub mod settings;
 pub mod verbs;
 pub mod wire;
