Bound the wait for a session and notice ended connections before use

An overloaded organisation's backlog at the caller made all its later operations wait for the rest of the run, which hid the service after the overload; callers now give up after patience_ms. Sessions check an idle connection before they send on it, as drivers' pools do: 42 operations of protea-leaf had an unknown outcome only because a draining host had closed the connection earlier. The limit check counts only inserts and selects, since BEGIN and COMMIT may be free.

--- a/crates/bench/src/load/connection.rs
+++ b/crates/bench/src/load/connection.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::SinkExt;
 use futures::StreamExt;
 use pgwire::messages::PgWireBackendMessage;
@@ -92,7 +93,7 @@
     pub async fn query(&mut self, sql: &str, limit: Duration) -> Result<Answer, Failure> {
         match timeout(limit, self.exchange(sql)).await {
             Ok(result) => result,
-            Err(_) => Err(Failure::Lost("the caller's deadline passed".to_owned())),
+            Err(_) => Err(Failure::TimedOut),
         }
     }
 
@@ -102,7 +103,15 @@
         let mut answer = Answer::default();
         let mut failure = None;
         loop {
-            match self.receive().await? {
+            let message = match (self.receive().await, failure) {
+                (Ok(message), earlier) => {
+                    failure = earlier;
+                    message
+                }
+                (Err(_), Some(earlier)) => return Err(Failure::and_end(earlier)),
+                (Err(end), None) => return Err(end),
+            };
+            match message {
                 PgWireBackendMessage::DataRow(row) => answer.rows.push(answer::columns(row.data)),
                 PgWireBackendMessage::CommandComplete(complete) => answer.tag = complete.tag,
                 PgWireBackendMessage::ErrorResponse(error) => failure = Some(refused(&error)),
@@ -115,6 +124,18 @@
         }
     }
 
+    /// Whether the daemon has not ended the connection, as far as it has told.
+    pub fn is_open(&mut self) -> bool {
+        while let Some(message) = self.socket.next().now_or_never() {
+            match message {
+                Some(Ok(message @ PgWireBackendMessage::ParameterStatus(_))) => self.note(message),
+                Some(Ok(PgWireBackendMessage::NoticeResponse(_))) => {}
+                _ => return false,
+            }
+        }
+        true
+    }
+
     /// Whether no transaction is open.
     pub fn idle(&self) -> bool {
         self.idle
--- a/crates/bench/src/load/organisation.rs
+++ b/crates/bench/src/load/organisation.rs
@@ -22,6 +22,9 @@
     pub weight: u32,
     /// Sessions that send its operations; an operation waits while all are busy.
     pub sessions: u32,
+    /// Longest time that an operation waits for a free session before its caller gives up.
+    #[serde(default = "default_patience")]
+    pub patience_ms: u64,
     /// Share of writes among the operations.
     #[serde(default = "default_writes")]
     pub writes: f64,
@@ -85,6 +88,10 @@
     1
 }
 
+fn default_patience() -> u64 {
+    2000
+}
+
 fn default_writes() -> f64 {
     0.2
 }
--- a/crates/bench/src/load/sample.rs
+++ b/crates/bench/src/load/sample.rs
@@ -14,6 +14,15 @@
 }
 
 impl Kind {
+    /// Inserts or selects of one operation. A limit certainly covers these, while BEGIN and COMMIT
+    /// may be free.
+    pub fn data_statements(self) -> u32 {
+        match self {
+            Self::Read | Self::Write => 1,
+            Self::Transaction => 2,
+        }
+    }
+
     /// Statements of one operation.
     pub fn statements(self) -> u32 {
         match self {
--- a/crates/bench/src/load/summary.rs
+++ b/crates/bench/src/load/summary.rs
@@ -36,7 +36,7 @@
     /// Served operations per operation that was due inside the contract, at most 1.
     pub ratio: f64,
     pub unknown: u64,
-    /// Operations that no session could start before the end of the load.
+    /// Operations whose callers gave up before a session was free.
     pub not_started: u64,
     /// Attempts refused as not run while everything sent was inside the contract.
     pub wrongful: u64,
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -106,6 +106,7 @@
     assert_eq!(refused("08007", ""), Outcome::Unknown);
     assert_eq!(refused("42601", ""), Outcome::NotRun);
     assert_eq!(refused("53300", "outcome=else"), Outcome::Unknown);
+    assert_eq!(Failure::TimedOut.outcome(), Outcome::Unknown);
     assert_eq!(Failure::Lost(String::new()).outcome(), Outcome::Unknown);
     assert_eq!(Failure::Connect(String::new()).outcome(), Outcome::NotRun);
 }
@@ -264,3 +265,17 @@
         .collect();
     assert_eq!(counts, [(2, 1), (1, 1)]);
 }
+
+#[test]
+fn error_before_the_end_of_a_connection_counts_only_with_a_stated_outcome() {
+    let ended = |detail: &str| {
+        let failure = Failure::Refused {
+            code: "57P01".to_owned(),
+            message: String::new(),
+            detail: detail.to_owned(),
+        };
+        failure.and_end().outcome()
+    };
+    assert_eq!(ended("outcome=not_run"), Outcome::NotRun);
+    assert_eq!(ended(""), Outcome::Unknown);
+}
