Charge every statement of a request and bound the daemon's own retries

Cause: a simple query with many statements took one token, so an organisation could exceed its rate by batching; and requests whose answer was lost were sent again up to three times whatever the share of failures. Each statement but the end of a transaction now takes a token, and repeats draw on the organisation's retry budget. The 40 tests of the data path pass.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::front::cancel::Cancels;
 use crate::front::context::Context;
 use crate::front::listener::Listener;
+use crate::front::retries::Retries;
 use crate::front::tls;
 use crate::front::tls::TlsError;
 use crate::limits::Limits;
@@ -124,6 +125,7 @@
         metrics,
         stop: stopping,
         cancels: Cancels::default(),
+        retries: Retries::new(),
     });
     let report = Report::new(
         fleet,
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -35,7 +35,9 @@
         self.state.on_lost();
         let resolution = attempt.progress.resolve();
         let time = Instant::now() < attempt.deadline && attempt.repeats < REPEATS;
-        if resolution == Resolution::Repeat && time {
+        let retries = &self.context.retries;
+        let repeat = resolution == Resolution::Repeat && time;
+        if repeat && retries.on_retry(&self.identity.organisation) {
             attempt.repeats += 1;
             attempt.replica = false;
             attempt.progress.sent = false;
--- a/crates/daemon/src/front/context.rs
+++ b/crates/daemon/src/front/context.rs
@@ -9,6 +9,7 @@
 
 use crate::databases::directory::Directory;
 use crate::front::cancel::Cancels;
+use crate::front::retries::Retries;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 
@@ -24,6 +25,7 @@
     /// True once a planned stop began.
     pub stop: watch::Receiver<bool>,
     pub(crate) cancels: Cancels,
+    pub(crate) retries: Retries,
 }
 
 impl Context {
--- a/crates/daemon/src/front/execute.rs
+++ b/crates/daemon/src/front/execute.rs
@@ -83,9 +83,14 @@
         let started = Instant::now();
         let classes = work.classes();
         let ends = |class: &Class| matches!(class, Class::Commit | Class::Rollback);
-        if work.executes() && !classes.iter().all(ends) {
-            let limits = &self.context.limits;
-            limits.admit(&self.identity.organisation, deadline).await?;
+        if work.executes() {
+            let organisation = &self.identity.organisation;
+            self.context.retries.on_attempt(organisation);
+            // Each statement counts, also when a request carries many; the end of a transaction
+            // is never refused.
+            for _ in classes.iter().filter(|class| !ends(class)) {
+                self.context.limits.admit(organisation, deadline).await?;
+            }
         }
         let view = Arc::clone(&self.context.config.borrow());
         let name = &self.identity.database;
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -15,6 +15,7 @@
 mod refusal;
 mod relay;
 mod request;
+pub(crate) mod retries;
 mod session;
 mod startup;
 mod step;
--- /dev/null
+++ b/crates/daemon/src/front/retries.rs
@@ -0,0 +1,50 @@
+//! Retry budgets of all organisations on this host.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use magnoliahatch_core::ids::OrganisationId;
+use magnoliahatch_core::retry_budget::RetryBudget;
+
+/// Bounds what the daemon sends again by itself, so that lost answers of a failing endpoint do
+/// not multiply the load on it. Keys are organisations with a session, so their number is bounded
+/// by the contracts.
+#[derive(Debug)]
+pub(crate) struct Retries {
+    start: Instant,
+    budgets: Mutex<HashMap<OrganisationId, RetryBudget>>,
+}
+
+impl Retries {
+    pub(crate) fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            budgets: Mutex::default(),
+        }
+    }
+
+    /// Records a first attempt.
+    pub(crate) fn on_attempt(&self, organisation: &str) {
+        self.with(organisation, |budget, _| budget.on_attempt());
+    }
+
+    /// Whether a request may be sent again now.
+    pub(crate) fn on_retry(&self, organisation: &str) -> bool {
+        self.with(organisation, |budget, now| budget.on_retry(now))
+    }
+
+    fn with<T>(
+        &self,
+        organisation: &str,
+        f: impl FnOnce(&mut RetryBudget, std::time::Duration) -> T,
+    ) -> T {
+        let now = self.start.elapsed();
+        let mut budgets = self.budgets.lock().expect("no holder of this lock panics");
+        if let Some(budget) = budgets.get_mut(organisation) {
+            return f(budget, now);
+        }
+        let budget = budgets.entry(organisation.to_owned());
+        f(budget.or_insert_with(|| RetryBudget::new(now)), now)
+    }
+}
