--- a/crates/daemon/src/pool/member_pool.rs
+++ b/crates/daemon/src/pool/member_pool.rs
@@ -149,7 +149,7 @@
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             let limit = Instant::now() + OPEN_TIMEOUT;
-            // A control connection, since the limit may leave no room for a data connection.
+            // A control connection, since the member still counts the silent data connections.
             let probe = Verbs::open(pool.address, &pool.database, limit).await;
             if probe.is_ok() {
                 tracing::warn!(
--- a/crates/daemon/src/verbs.rs
+++ b/crates/daemon/src/verbs.rs
@@ -15,7 +15,7 @@
 use crate::verb_stats::VERBS;
 
 /// User of control connections.
-const CONTROL_USER: &str = "platform";
+pub(crate) const CONTROL_USER: &str = "platform";
 /// The most frequent verb, and its name as a prepared statement.
 const STATUS: &str = "SELECT * FROM platform_status()";
 const STATUS_NAME: &str = "s";
