Cut the traffic of single processes, and inject faults from code

A test of a primary that only one daemon reaches needs cuts by process: a link now cuts the sources that it is given. A process may open connections before the harness has made it known; those of unknown processes are reset when the cut begins, so that none escapes it. run_with takes the faults as a future, which can wait for the state that a fault has to hit. A plan may bind an organisation to hosts, and let members accept more connections than the database's limit so that they count an excess.

--- a/crates/bench/src/fault/api.rs
+++ b/crates/bench/src/fault/api.rs
@@ -1,5 +1,6 @@
 //! API of the fault proxy.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -38,6 +39,9 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>")]
     pub target: Option<SocketAddr>,
+    /// Known processes whose traffic is cut, by name; replaces the earlier ones.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cut_sources: Option<BTreeSet<String>>,
     /// Silences the connections open now; new ones work.
     #[serde(default)]
     pub freeze_open: bool,
@@ -129,6 +133,9 @@
     if let Some(target) = change.target {
         link.set_target(target);
     }
+    if let Some(sources) = &change.cut_sources {
+        link.set_cut_sources(sources.clone());
+    }
     if change.freeze_open {
         link.freeze_open();
     }
--- a/crates/bench/src/fault/link.rs
+++ b/crates/bench/src/fault/link.rs
@@ -1,5 +1,6 @@
 //! A running link.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
@@ -41,9 +42,11 @@
                 .iter()
                 .map(|(name, delay)| (name.clone(), Duration::from_micros(*delay)))
                 .collect(),
+            cut_sources: BTreeSet::new(),
             target: settings.target,
             frozen_below: 0,
             reset_below: 0,
+            unknown_below: 0,
         });
         let counts = Arc::new(Counts::default());
         let failed = |source| FaultError::Bind {
@@ -94,6 +97,17 @@
         self.state.send_modify(|state| state.target = Some(target));
     }
 
+    /// Cuts the traffic of these processes, and of no others. Only processes for which the link's
+    /// settings hold a delay are recognised. A process may have opened connections before it was
+    /// made known, so connections of unknown processes are reset.
+    pub fn set_cut_sources(&self, sources: BTreeSet<String>) {
+        let next = self.counts.accepted.load(Relaxed);
+        self.state.send_modify(|state| {
+            state.cut_sources = sources;
+            state.unknown_below = next;
+        });
+    }
+
     /// Silences the connections open now; new ones work.
     pub fn freeze_open(&self) {
         let next = self.counts.accepted.load(Relaxed);
--- a/crates/bench/src/fault/state.rs
+++ b/crates/bench/src/fault/state.rs
@@ -1,6 +1,7 @@
 //! Current faults of a link.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,11 +18,15 @@
     pub delay: Duration,
     /// Delays of known processes, by name.
     pub delays: BTreeMap<String, Duration>,
+    /// Known processes whose traffic is cut, by name.
+    pub cut_sources: BTreeSet<String>,
     pub target: Option<SocketAddr>,
     /// Connections below this number stay silent for good.
     pub frozen_below: ConnectionNumber,
     /// Connections below this number are reset.
     pub reset_below: ConnectionNumber,
+    /// Connections of unknown processes below this number are reset.
+    pub unknown_below: ConnectionNumber,
 }
 
 impl LinkState {
@@ -31,12 +36,23 @@
         own.copied().unwrap_or(self.delay)
     }
 
-    /// Treatment of one direction of a connection.
-    pub fn gate(&self, number: ConnectionNumber, forward: bool) -> Gate {
+    /// What the link does with traffic of the process, if it is known.
+    pub fn mode_of(&self, source: Option<&str>) -> LinkMode {
+        let cut = source.is_some_and(|name| self.cut_sources.contains(name));
+        if cut { LinkMode::Cut } else { self.mode }
+    }
+
+    /// Whether a connection from the process, if it is known, is to be reset.
+    pub fn is_reset(&self, number: ConnectionNumber, source: Option<&str>) -> bool {
+        number < self.reset_below || (source.is_none() && number < self.unknown_below)
+    }
+
+    /// Treatment of one direction of a connection from the process, if it is known.
+    pub fn gate(&self, number: ConnectionNumber, source: Option<&str>, forward: bool) -> Gate {
         if number < self.frozen_below {
             Gate::Hold
         } else {
-            self.mode.gate(forward)
+            self.mode_of(source).gate(forward)
         }
     }
 }
--- a/crates/bench/src/fault/tcp.rs
+++ b/crates/bench/src/fault/tcp.rs
@@ -107,7 +107,7 @@
     };
     let clean = tokio::select! {
         result = forwarded => result.is_ok(),
-        _ = watcher.wait_for(|s| number < s.reset_below) => false,
+        _ = watcher.wait_for(|s| s.is_reset(number, source.as_deref())) => false,
     };
     if !clean {
         // An error or reset on one side must not look like a regular end on the other.
@@ -127,12 +127,14 @@
     state: &mut watch::Receiver<LinkState>,
 ) -> io::Result<TcpStream> {
     let gone = |_| io::Error::from(io::ErrorKind::ConnectionAborted);
-    let arrival = state.borrow().mode;
+    let arrival = state.borrow().mode_of(source);
     let cut = !matches!(arrival, LinkMode::Pass | LinkMode::Freeze);
     let (target, delay) = {
         let open = state
             .wait_for(|s| {
-                s.target.is_some() && s.mode == LinkMode::Pass && number >= s.frozen_below
+                s.target.is_some()
+                    && s.mode_of(source) == LinkMode::Pass
+                    && number >= s.frozen_below
             })
             .await
             .map_err(gone)?;
@@ -191,18 +193,19 @@
 
     /// Waits while the direction is on hold.
     async fn open_gate(&mut self) -> io::Result<Gate> {
-        let (number, forward) = (self.number, self.forward);
+        let (number, source, forward) = (self.number, self.source, self.forward);
         let state = self
             .state
-            .wait_for(|s| s.gate(number, forward) != Gate::Hold)
+            .wait_for(|s| s.gate(number, source, forward) != Gate::Hold)
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::ConnectionAborted))?;
-        Ok(state.gate(number, forward))
+        Ok(state.gate(number, source, forward))
     }
 
     /// Discards the rest of a stream that has a gap, and fails once the cut has ended.
     async fn swallow(mut self, mut chunks: mpsc::Receiver<(Instant, Bytes)>) -> io::Result<()> {
-        let (number, forward, counts) = (self.number, self.forward, self.counts);
+        let (number, source, forward) = (self.number, self.source, self.forward);
+        let counts = self.counts;
         let discard = async {
             while let Some((_, chunk)) = chunks.recv().await {
                 counts.discarded.fetch_add(chunk.len() as u64, Relaxed);
@@ -211,7 +214,7 @@
         };
         tokio::select! {
             () = discard => {}
-            _ = self.state.wait_for(|s| s.gate(number, forward) == Gate::Pass) => {}
+            _ = self.state.wait_for(|s| s.gate(number, source, forward) == Gate::Pass) => {}
         }
         Err(io::ErrorKind::ConnectionReset.into())
     }
--- a/crates/bench/src/fault/udp.rs
+++ b/crates/bench/src/fault/udp.rs
@@ -45,8 +45,8 @@
             },
             changed = state.changed() => match changed {
                 Ok(()) => {
-                    let reset_below = state.borrow_and_update().reset_below;
-                    flows.retain(|_, flow| flow.number >= reset_below);
+                    let state = state.borrow_and_update();
+                    flows.retain(|_, flow| !state.is_reset(flow.number, flow.source.as_deref()));
                     continue;
                 }
                 Err(_) => return,
@@ -139,12 +139,12 @@
         let mut state = self.state.clone();
         while let Some((due, datagram)) = datagrams.recv().await {
             sleep_until(due).await;
-            let number = self.number;
+            let (number, source) = (self.number, self.source.as_deref());
             let (gate, target) = match state
-                .wait_for(|s| s.gate(number, forward) != Gate::Hold)
+                .wait_for(|s| s.gate(number, source, forward) != Gate::Hold)
                 .await
             {
-                Ok(open) => (open.gate(number, forward), open.target),
+                Ok(open) => (open.gate(number, source, forward), open.target),
                 Err(_) => return,
             };
             let sent = match (gate, target) {
--- a/crates/bench/src/harness/fleet.rs
+++ b/crates/bench/src/harness/fleet.rs
@@ -226,7 +226,7 @@
             "listen": {"sql": self.member(name).map_or(ANY.to_owned(), |old| old.to_string())},
             "data_dir": self.folder.path().join(format!("data-{name}")),
             "start": start,
-            "connections": database.connections,
+            "connections": database.connections + tuning.spare_connections,
             "slots": database.slots,
             "connect_ms": tuning.connect_ms,
             "service_us": tuning.service_us,
--- a/crates/bench/src/harness/links.rs
+++ b/crates/bench/src/harness/links.rs
@@ -84,14 +84,15 @@
     delays(plan, &to.data_centre, places)
 }
 
-/// Only delays above zero, since looking up the process of a connection costs time.
+/// Only delays above zero unless the plan asks for all, since looking up the process of a
+/// connection costs time.
 fn delays<'a>(
     plan: &FleetPlan,
     to: &str,
     from: impl Iterator<Item = (&'a String, &'a String)>,
 ) -> BTreeMap<String, u64> {
     from.map(|(name, place)| (name.clone(), plan.delay(place, to)))
-        .filter(|(_, delay)| !delay.is_zero())
+        .filter(|(_, delay)| plan.identify_sources || !delay.is_zero())
         .map(|(name, delay)| (name, u64::try_from(delay.as_micros()).unwrap_or(u64::MAX)))
         .collect()
 }
--- a/crates/bench/src/harness/plan.rs
+++ b/crates/bench/src/harness/plan.rs
@@ -22,6 +22,10 @@
     pub latency: Latency,
     #[serde(default)]
     pub members: MemberTuning,
+    /// Whether the fault proxy recognises each process on the links, so that a fault can hit the
+    /// traffic of some processes only.
+    #[serde(default)]
+    pub identify_sources: bool,
     /// Fields added to each daemon's settings file, over those of the harness.
     #[serde(default)]
     pub daemon: serde_json::Map<String, serde_json::Value>,
@@ -85,6 +89,10 @@
     /// Delay between receiving and applying an entry on a replica.
     #[serde(default)]
     pub lag_ms: u64,
+    /// Connections that a member accepts beyond the database's limit. They let a member count an
+    /// excess that it would otherwise refuse.
+    #[serde(default)]
+    pub spare_connections: u32,
 }
 
 impl Default for MemberTuning {
@@ -93,6 +101,7 @@
             connect_ms: default_connect(),
             service_us: 0,
             lag_ms: 0,
+            spare_connections: 0,
         }
     }
 }
--- a/crates/bench/src/load/organisation.rs
+++ b/crates/bench/src/load/organisation.rs
@@ -1,6 +1,7 @@
 //! Load of one organisation.
 
 use magnoliahatch_core::ids::DatabaseId;
+use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::OrganisationId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -13,6 +14,9 @@
     /// Databases that its sessions use in turn; all of them if empty.
     #[serde(default)]
     pub databases: Vec<DatabaseId>,
+    /// Hosts that its sessions use; all of them if empty.
+    #[serde(default)]
+    pub hosts: Vec<HostId>,
     /// Statements per second of the contract.
     pub rate: f64,
     pub burst: f64,
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -65,6 +65,22 @@
     variant: &Variant,
     options: &RunOptions,
 ) -> Result<Report, LoadError> {
+    let faults = scenario.faults.clone();
+    let inject = |fleet, start| injector::inject(fleet, faults, start);
+    run_with(scenario, variant, options, inject).await
+}
+
+/// Like [`run`], with the faults that `inject` injects instead of those of the scenario. It gets
+/// the fleet and the start of the load.
+pub async fn run_with<F>(
+    scenario: &Scenario,
+    variant: &Variant,
+    options: &RunOptions,
+    inject: impl FnOnce(Arc<Mutex<Fleet>>, Instant) -> F,
+) -> Result<Report, LoadError>
+where
+    F: Future<Output = Vec<Injected>>,
+{
     let binaries = Binaries {
         folder: options.binaries.clone(),
         daemon: variant.daemon_binary.clone(),
@@ -91,7 +107,7 @@
     }
     let fleet = Arc::new(Mutex::new(fleet));
     let (results, injected, reads, start) =
-        load(scenario, options, &fleet, &entries, &callers).await?;
+        load(scenario, options, &fleet, &entries, &callers, inject).await?;
     let mut records = results.records;
     let deadline = Instant::now() + prepare::SERVING_LIMIT;
     for (_, caller) in callers.iter().flatten() {
@@ -134,20 +150,23 @@
 }
 
 /// Runs the load and the faults until all sessions have ended.
-async fn load(
+async fn load<F>(
     scenario: &Scenario,
     options: &RunOptions,
     fleet: &Arc<Mutex<Fleet>>,
     entries: &Arc<Vec<Entry>>,
     callers: &[Vec<(usize, Caller)>],
-) -> Result<(Results, Vec<Injected>, ReadShare, Instant), LoadError> {
+    inject: impl FnOnce(Arc<Mutex<Fleet>>, Instant) -> F,
+) -> Result<(Results, Vec<Injected>, ReadShare, Instant), LoadError>
+where
+    F: Future<Output = Vec<Injected>>,
+{
     let start = Instant::now() + LEAD;
     let (sender, receiver) = mpsc::unbounded_channel();
     let collected = tokio::spawn(collector::collect(receiver));
     let (stop, stopped) = oneshot::channel();
     let reads = tokio::spawn(reads::count(Arc::clone(fleet), stopped));
-    let faults = scenario.faults.clone();
-    let injected = tokio::spawn(injector::inject(Arc::clone(fleet), faults, start));
+    let injected = inject(Arc::clone(fleet), start);
 
     let mut tasks = JoinSet::new();
     let mut random = StdRng::seed_from_u64(options.seed);
@@ -155,13 +174,16 @@
     for (organisation, plan) in scenario.organisations.iter().enumerate() {
         let sent = Arc::new(BlockingMutex::new(Allowance::new(plan.rate, plan.burst)));
         let mut queues = Vec::new();
+        let uses = |entry: &&Entry| plan.hosts.is_empty() || plan.hosts.contains(&entry.host);
+        let used_entries: Vec<_> = entries.iter().filter(uses).cloned().collect();
+        let used_entries = Arc::new(used_entries);
         for (position, (database, caller)) in callers[organisation].iter().enumerate() {
             let shared = Arc::new(Shared {
                 plan: plan.clone(),
                 organisation,
                 database: *database,
                 caller: caller.clone(),
-                entries: Arc::clone(entries),
+                entries: Arc::clone(&used_entries),
                 start,
                 deadline: Duration::from_millis(scenario.deadline_ms),
                 end: scenario.length() + GRACE,
@@ -186,10 +208,14 @@
         tasks.spawn(offer(plan.clone(), scenario.length(), start, queues, seed));
     }
     drop(sender);
-    while let Some(ended) = tasks.join_next().await {
-        ended?;
-    }
-    let injected = injected.await?;
+    let sessions = async {
+        while let Some(ended) = tasks.join_next().await {
+            ended?;
+        }
+        Ok::<_, LoadError>(())
+    };
+    let (ended, injected) = tokio::join!(sessions, injected);
+    ended?;
     drop(stop);
     Ok((collected.await?, injected, reads.await?, start))
 }
--- a/crates/bench/src/load/scenario.rs
+++ b/crates/bench/src/load/scenario.rs
@@ -81,6 +81,10 @@
             if let Some(missing) = organisation.databases.iter().find(|name| !known(name)) {
                 return refuse(format!("{name}: fleet.databases has no `{missing}`"));
             }
+            let host = |wanted: &str| self.fleet.hosts.iter().any(|found| found.name == wanted);
+            if let Some(missing) = organisation.hosts.iter().find(|name| !host(name)) {
+                return refuse(format!("{name}: fleet.hosts has no `{missing}`"));
+            }
             if !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-') {
                 return refuse(format!(
                     "{name}: names consist of letters, digits and hyphens"
--- a/crates/bench/tests/fault.rs
+++ b/crates/bench/tests/fault.rs
@@ -1,6 +1,7 @@
 //! Guards against a fault proxy that injects other faults than those asked for.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -224,6 +225,45 @@
     }
 }
 
+/// A process may open connections before it is known; those must not escape its cut.
+#[tokio::test]
+async fn cut_of_a_process_covers_its_connections_and_those_of_unknown_processes() {
+    let sources = Sources::default();
+    let settings = LinkSettings {
+        name: "a".to_owned(),
+        protocol: Protocol::Tcp,
+        listen: "127.0.0.1:0".parse().unwrap(),
+        target: Some(tcp_echo().await),
+        delay_us: 0,
+        delays_us: BTreeMap::from([("self".to_owned(), 0)]),
+    };
+    let link = Link::bind(&settings, sources.clone()).await.unwrap();
+    let mut early = connect(&link).await;
+    assert_eq!(echo(&mut early, b"a").await.unwrap(), b"a");
+    let source = Source {
+        process: std::process::id(),
+        udp: None,
+    };
+    sources.set("self".to_owned(), source);
+    let mut known = connect(&link).await;
+    assert_eq!(echo(&mut known, b"b").await.unwrap(), b"b");
+
+    link.set_cut_sources(BTreeSet::from(["other".to_owned()]));
+    assert!(echo(&mut early, b"c").await.is_err());
+    assert_eq!(echo(&mut known, b"d").await.unwrap(), b"d");
+    link.set_cut_sources(BTreeSet::from(["self".to_owned()]));
+    known.write_all(b"e").await.unwrap();
+    assert_silent(&mut known).await;
+    let mut new = connect(&link).await;
+    new.write_all(b"f").await.unwrap();
+    assert_silent(&mut new).await;
+
+    link.set_cut_sources(BTreeSet::new());
+    assert!(echo(&mut known, b"g").await.is_err());
+    let mut new = connect(&link).await;
+    assert_eq!(echo(&mut new, b"h").await.unwrap(), b"h");
+}
+
 #[tokio::test]
 async fn udp_flows_pass_cut_and_freeze() {
     let server = UdpSocket::bind("127.0.0.1:0").await.unwrap();
