--- a/crates/bench/tests/guarantees/support.rs
+++ b/crates/bench/tests/guarantees/support.rs
@@ -16,8 +16,6 @@
 use magnoliahatch_bench::load::run::RunOptions;
 use magnoliahatch_bench::load::scenario::Scenario;
 use magnoliahatch_client::logs;
-use magnoliahatch_client::logs;
-use magnoliahatch_client::logs::LogFormat;
 use magnoliahatch_client::logs::LogFormat;
 use serde_json::Value;
 use serde_json::json;
