--- a/crates/bench/src/capacity/size.rs
+++ b/crates/bench/src/capacity/size.rs
@@ -66,6 +66,7 @@
                 .collect(),
         });
         FleetPlan {
+            identify_sources: false,
             data_centres: vec![DataCentrePlan {
                 name: PLACE.to_owned(),
                 region: "region".to_owned(),
