Hold statements during a planned change of primary

A planned change fenced the old primary at once, so statements in flight there became unknown. The ordering daemon now announces the change; every daemon gives the primary no new work, holds new statements and reports what it still has there. When none is left (limit 3 s) and the chosen replica has received the log, the election promotes it. A daemon chosen by rendezvous hashing orders the change of a primary that is out of service and repeats it every 2 s. Elections choose a member that is out of service only if its log is newer. A switchover command names the term it replaces, so that two daemons cause one change.

The announcement has new fields, so the frame version is 2; the mesh test's 'unknown version' was 2 and is now VERSION + 1, which checks the same.

--- a/crates/bench/src/harness/members.rs
+++ b/crates/bench/src/harness/members.rs
@@ -36,6 +36,12 @@
     serde_json::from_str(row.get("recording")?).ok()
 }
 
+/// Starts to record statements and forgets earlier ones; none if the member does not answer.
+pub async fn record(sql: SocketAddr) -> Option<()> {
+    let row = call(sql, "SELECT * FROM platform_record(1)").await;
+    row.map(drop)
+}
+
 async fn call(sql: SocketAddr, statement: &str) -> Option<BTreeMap<String, String>> {
     timeout(CALL_LIMIT, row(sql, statement)).await.ok()?.ok()?
 }
--- a/crates/bench/src/load/fault_plan.rs
+++ b/crates/bench/src/load/fault_plan.rs
@@ -60,6 +60,15 @@
     Store {
         fault: Fault,
     },
+    /// Orders a planned change of primary.
+    Switchover {
+        database: String,
+    },
+    /// Counts the statements of callers' connections that a member receives in a time.
+    CountWork {
+        member: String,
+        for_ms: u64,
+    },
     /// Takes a host, endpoint or data centre out of service, or in.
     Placement {
         subject: String,
@@ -68,12 +77,13 @@
 }
 
 impl FaultAction {
-    /// Database whose primary the fault takes away.
+    /// Database whose primary the fault takes away or changes.
     pub fn failed_database(&self) -> Option<&str> {
         match self {
             Self::KillPrimary { database }
             | Self::PausePrimary { database, .. }
-            | Self::CutPrimary { database, .. } => Some(database),
+            | Self::CutPrimary { database, .. }
+            | Self::Switchover { database } => Some(database),
             _ => None,
         }
     }
@@ -87,6 +97,8 @@
     pub action: FaultAction,
     /// Process that it hit.
     pub process: Option<String>,
+    /// Statements that were counted.
+    pub statements: Option<usize>,
     /// Why it could not be injected.
     pub error: Option<String>,
 }
--- a/crates/bench/src/load/injector.rs
+++ b/crates/bench/src/load/injector.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use magnoliahatch_client::admin::client::AdminClient;
+use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
+use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
 use magnoliahatch_client::objects::kind;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
@@ -14,16 +17,36 @@
 use crate::harness::error::HarnessError;
 use crate::harness::fleet::Fleet;
 use crate::harness::links;
+use crate::harness::members;
 use crate::harness::objects;
 use crate::load::fault_plan::FaultAction;
 use crate::load::fault_plan::FaultPlan;
 use crate::load::fault_plan::Injected;
+use crate::member::Statement;
 
 /// Limit of a graceful shutdown: the daemon's own limit for open transactions and some more.
 const STOP_LIMIT: Duration = Duration::from_secs(40);
+/// User of the connections that carry callers' statements.
+const DATA_USER: &str = "proxy";
 /// Interval at which the end of a process is checked.
 const POLL: Duration = Duration::from_millis(20);
 
+/// What a fault hit.
+#[derive(Debug, Default)]
+struct Hit {
+    process: Option<String>,
+    statements: Option<usize>,
+}
+
+impl Hit {
+    fn of(process: &str) -> Self {
+        Self {
+            process: Some(process.to_owned()),
+            statements: None,
+        }
+    }
+}
+
 /// Injects all faults, each at its time, and returns what was done.
 pub async fn inject(
     fleet: Arc<Mutex<Fleet>>,
@@ -37,14 +60,15 @@
             let at = start.elapsed();
             let result = act(&fleet, &fault.action).await;
             tracing::info!(event = 510, action = ?fault.action, ?result, "fault injected");
-            let (process, error) = match result {
-                Ok(process) => (process, None),
-                Err(error) => (None, Some(error.to_string())),
+            let (hit, error) = match result {
+                Ok(hit) => (hit, None),
+                Err(error) => (Hit::default(), Some(error.to_string())),
             };
             Injected {
                 at,
                 action: fault.action,
-                process,
+                process: hit.process,
+                statements: hit.statements,
                 error,
             }
         }
@@ -52,33 +76,33 @@
     futures::future::join_all(tasks).await
 }
 
-async fn act(fleet: &Mutex<Fleet>, action: &FaultAction) -> Result<Option<String>, HarnessError> {
+async fn act(fleet: &Mutex<Fleet>, action: &FaultAction) -> Result<Hit, HarnessError> {
     match action {
         FaultAction::KillPrimary { database } => {
             let mut fleet = fleet.lock().await;
             let primary = fleet.primary(database).await?;
             fleet.process(&primary)?.kill()?;
-            Ok(Some(primary))
+            Ok(Hit::of(&primary))
         }
         FaultAction::PausePrimary { database, for_ms } => {
             let primary = fleet.lock().await.primary(database).await?;
             pause(fleet, &primary, *for_ms).await?;
-            Ok(Some(primary))
+            Ok(Hit::of(&primary))
         }
         FaultAction::CutPrimary { database, for_ms } => {
             let primary = fleet.lock().await.primary(database).await?;
             cut(fleet, &primary, LinkMode::Cut).await?;
             sleep(Duration::from_millis(*for_ms)).await;
             cut(fleet, &primary, LinkMode::Pass).await?;
-            Ok(Some(primary))
+            Ok(Hit::of(&primary))
         }
         FaultAction::Kill { process } => {
             fleet.lock().await.process(process)?.kill()?;
-            Ok(Some(process.clone()))
+            Ok(Hit::of(process))
         }
         FaultAction::Restart { process } => {
             fleet.lock().await.restart(process).await?;
-            Ok(Some(process.clone()))
+            Ok(Hit::of(process))
         }
         FaultAction::Stop { process } => {
             fleet.lock().await.process(process)?.terminate()?;
@@ -89,24 +113,51 @@
                 }
                 sleep(POLL).await;
             }
-            Ok(Some(process.clone()))
+            Ok(Hit::of(process))
         }
         FaultAction::Pause { process, for_ms } => {
             pause(fleet, process, *for_ms).await?;
-            Ok(Some(process.clone()))
+            Ok(Hit::of(process))
         }
         FaultAction::Link { link, change } => {
             fleet.lock().await.faults.change(link, change).await?;
-            Ok(None)
+            Ok(Hit::default())
         }
         FaultAction::Store { fault } => {
             fleet.lock().await.set_store_fault(fault).await?;
-            Ok(None)
+            Ok(Hit::default())
+        }
+        FaultAction::Switchover { database } => {
+            let (admin, old) = {
+                let mut fleet = fleet.lock().await;
+                let host = fleet.plan().hosts.first().map(|host| host.name.clone());
+                let admin = fleet.process(&host.unwrap_or_default())?.listen("admin")?;
+                (admin, fleet.primary(database).await?)
+            };
+            let failed = |error| HarnessError::Condition(format!("{database} switched: {error}"));
+            let client = AdminClient::open(vec![admin.to_string()]).map_err(failed)?;
+            let path = format!("/databases/{database}/switchover");
+            let order = SwitchoverOrder::default();
+            let done = client.post::<SwitchoverDone>(&path, Some(&order)).await;
+            done.map_err(failed)?;
+            Ok(Hit::of(&old))
+        }
+        FaultAction::CountWork { member, for_ms } => {
+            let address = fleet.lock().await.member(member)?;
+            let silent = || HarnessError::Condition(format!("{member} answers"));
+            members::record(address).await.ok_or_else(silent)?;
+            sleep(Duration::from_millis(*for_ms)).await;
+            let recording = members::recording(address).await.ok_or_else(silent)?;
+            let work = |s: &&Statement| s.user == DATA_USER;
+            Ok(Hit {
+                process: Some(member.clone()),
+                statements: Some(recording.statements.iter().filter(work).count()),
+            })
         }
         FaultAction::Placement { subject, state } => {
             let store = fleet.lock().await.store.clone();
             objects::put(&store, kind::PLACEMENT, subject, state).await?;
-            Ok(None)
+            Ok(Hit::default())
         }
     }
 }
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -163,6 +163,7 @@
 #[test]
 fn failover_gap_ignores_answers_in_transit_and_writes_that_were_not_acknowledged() {
     let fault = Injected {
+        statements: None,
         at: Duration::from_millis(1000),
         action: FaultAction::KillPrimary {
             database: "db".to_owned(),
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -96,6 +96,8 @@
     rng: StdRng,
     /// Member that wins among equal logs.
     preferred: Option<MemberId>,
+    /// Members that win only if no other log is as new, since they are out of service.
+    avoided: BTreeSet<MemberId>,
     /// Term of the current attempt, or of the last one. No attempt uses a term twice.
     term: Term,
     /// Highest term heard of or used.
@@ -114,6 +116,7 @@
             timing,
             rng: StdRng::seed_from_u64(seed),
             preferred: None,
+            avoided: BTreeSet::new(),
             term: 0,
             highest: 0,
             phase: Phase::Idle,
@@ -132,6 +135,10 @@
         self.preferred = preferred;
     }
 
+    pub fn set_avoided(&mut self, avoided: BTreeSet<MemberId>) {
+        self.avoided = avoided;
+    }
+
     /// Notes a term that some member has reached.
     pub fn on_term(&mut self, term: Term) {
         self.highest = self.highest.max(term);
@@ -336,7 +343,10 @@
         let Phase::Fencing { grants, .. } = &self.phase else {
             return Vec::new();
         };
-        let rank = |member: &MemberId| self.preferred.as_ref() == Some(member);
+        let rank = |member: &MemberId| {
+            let preferred = self.preferred.as_ref() == Some(member);
+            (!self.avoided.contains(member), preferred)
+        };
         let best = grants
             .iter()
             .max_by_key(|(member, end)| (**end, rank(member)));
--- a/crates/core/tests/election/scenarios.rs
+++ b/crates/core/tests/election/scenarios.rs
@@ -140,6 +140,22 @@
     }
 }
 
+/// A member that is out of service would be replaced again at once.
+#[test]
+fn member_out_of_service_wins_only_with_the_newest_log() {
+    for (received, expected) in [(10, "m2"), (11, "m0")] {
+        let mut election = election();
+        election.set_preferred(Some(name(0)));
+        election.set_avoided([name(0), name(1)].into());
+        let now = Duration::from_millis(1);
+        election.on_tick(now);
+        election.on_answer(&name(0), 5, grant(5, 3, received), now);
+        election.on_answer(&name(1), 5, grant(5, 3, 10), now);
+        let actions = election.on_answer(&name(2), 5, grant(5, 3, 10), now);
+        assert_eq!(promoted(&actions), [expected]);
+    }
+}
+
 /// A member that was promoted with a lost answer may already serve. A second promotion in the
 /// same term would make two primaries.
 #[test]
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -40,6 +40,9 @@
 use crate::peers::fleet::Fleet;
 use crate::report::Report;
 use crate::settings::Settings;
+use crate::switchover::duty;
+use crate::switchover::follow;
+use crate::switchover::orders::Orders;
 
 /// Why the daemon cannot start.
 #[derive(Debug, Error)]
@@ -110,6 +113,9 @@
             Some((mesh, _)) => mesh.reports(),
             None => watch::channel(Reports::new()).1,
         },
+        config: views.clone(),
+        region: settings.region.clone(),
+        orders: Orders::default(),
     };
     let directory = control.enter(|| Directory::spawn(views.clone(), fleet.clone()));
     let (stop, stopping) = watch::channel(false);
@@ -126,7 +132,7 @@
         cancels: Cancels::default(),
     });
     let report = Report::new(
-        fleet,
+        fleet.clone(),
         Arc::clone(&context),
         Arc::clone(&config),
         mesh.as_ref().map(|(mesh, _)| mesh.clone()),
@@ -138,11 +144,14 @@
     };
     let listener = bind_sql(settings.listen.sql, acceptor, &context).await?;
     let mesh = control.enter(|| {
+        follow::spawn(fleet.clone(), Arc::clone(&directory));
+        duty::spawn(fleet.clone(), Arc::clone(&directory));
         announce::spawn(
             announcement,
             Arc::clone(&config),
             directory,
             Arc::clone(&context),
+            fleet,
         );
         mesh.map(|(mesh, events)| {
             exchange::spawn(Arc::clone(&config), mesh.clone(), events);
--- a/crates/daemon/src/databases/database.rs
+++ b/crates/daemon/src/databases/database.rs
@@ -24,7 +24,10 @@
 
 use crate::confirm::confirmer::Confirmer;
 use crate::confirm::freshness::Freshness;
+use crate::databases::gate::Gate;
+use crate::databases::gate::PrimaryUse;
 use crate::election;
+use crate::election::Avoid;
 use crate::election::Inputs;
 use crate::monitor;
 use crate::monitor::group::Group;
@@ -49,6 +52,9 @@
     pub confirmer: Confirmer,
     pub freshness: Freshness,
     pub election: election::Handle,
+    pub gate: Gate,
+    /// Held by the planned change of primary that this daemon carries out.
+    pub changing: tokio::sync::Mutex<()>,
     members: Vec<Member>,
     pools: BTreeMap<MemberId, Arc<MemberPool>>,
     hold: Mutex<Hold>,
@@ -93,6 +99,8 @@
             confirmer,
             freshness,
             election,
+            gate: Gate::default(),
+            changing: tokio::sync::Mutex::new(()),
             members,
             pools,
             hold: Mutex::new(Hold::new(HOLD_LIMIT, HOLD_TIME)),
@@ -107,6 +115,15 @@
         self.members == members
     }
 
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// A member by its name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.iter().find(|member| member.name == name)
+    }
+
     pub fn pool(&self, member: &MemberId) -> Option<&Arc<MemberPool>> {
         self.pools.get(member)
     }
@@ -122,23 +139,29 @@
         })
     }
 
-    /// The primary's pool. While there is none, waits until one is found; none if too many
-    /// statements wait already, or none was found in time.
-    /// Primaries of a term before `term` do not count.
-    pub async fn primary(&self, term: Term, deadline: Instant) -> Option<Arc<MemberPool>> {
-        if let Some(pool) = self.current_primary(term) {
-            return Some(pool);
+    /// The primary's pool and admission to it. While there is none, or it is about to be replaced,
+    /// waits until one is found; none if too many statements wait already, or none was found in
+    /// time. Primaries of a term before `term` do not count.
+    pub async fn primary(
+        &self,
+        term: Term,
+        deadline: Instant,
+    ) -> Option<(Arc<MemberPool>, PrimaryUse)> {
+        if let Some(found) = self.current_primary(term) {
+            return Some(found);
         }
         let wait = Waiting::enter(self, deadline)?;
         let mut view = self.group.subscribe();
+        let mut gate = self.gate.subscribe();
         loop {
-            if let Some(pool) = self.current_primary(term) {
-                return Some(pool);
+            if let Some(found) = self.current_primary(term) {
+                return Some(found);
+            }
+            tokio::select! {
+                changed = view.changed() => changed.ok()?,
+                changed = gate.changed() => changed.ok()?,
+                () = tokio::time::sleep_until(wait.until.into()) => return None,
             }
-            tokio::time::timeout_at(wait.until.into(), view.changed())
-                .await
-                .ok()?
-                .ok()?;
         }
     }
 
@@ -150,9 +173,10 @@
             .waiting()
     }
 
-    fn current_primary(&self, term: Term) -> Option<Arc<MemberPool>> {
-        let (name, _) = self.group.primary().filter(|(_, known)| *known >= term)?;
-        self.pools.get(&name).cloned()
+    fn current_primary(&self, term: Term) -> Option<(Arc<MemberPool>, PrimaryUse)> {
+        let (name, known) = self.group.primary().filter(|(_, known)| *known >= term)?;
+        let pool = self.pools.get(&name)?;
+        Some((Arc::clone(pool), self.gate.enter(known)?))
     }
 }
 
@@ -188,11 +212,22 @@
                 Ok(verbs.call(&sql, deadline).await?)
             })
         }),
+        avoid: avoid(fleet, members),
         patience: Patience::default(),
         timing: Timing::default(),
     })
 }
 
+/// Tells which members are out of service.
+fn avoid(fleet: &Fleet, members: &[Member]) -> Avoid {
+    let (config, members) = (fleet.config.clone(), members.to_vec());
+    Arc::new(move || {
+        let view = config.borrow();
+        let out = members.iter().filter(|m| !view.member_in_service(m));
+        out.map(|member| member.name.clone()).collect()
+    })
+}
+
 /// Place of one statement in the hold.
 struct Waiting<'a> {
     database: &'a Database,
--- a/crates/daemon/src/databases/mod.rs
+++ b/crates/daemon/src/databases/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod database;
 pub mod directory;
+pub mod gate;
--- a/crates/daemon/src/election/inputs.rs
+++ b/crates/daemon/src/election/inputs.rs
@@ -1,6 +1,7 @@
 //! What an election task is joined to.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +28,9 @@
     dyn Fn(MemberId, String) -> BoxFuture<'static, Result<Vec<String>, CallError>> + Send + Sync,
 >;
 
+/// Tells which members are out of service; they win only if no other has as new a log.
+pub type Avoid = Arc<dyn Fn() -> BTreeSet<MemberId> + Send + Sync>;
+
 /// A primary that this daemon has promoted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Elected {
@@ -47,6 +51,7 @@
     pub view: watch::Receiver<GroupView>,
     pub peers: watch::Receiver<Peers>,
     pub call: VerbCall,
+    pub avoid: Avoid,
     pub patience: Patience,
     pub timing: Timing,
 }
--- a/crates/daemon/src/election/mod.rs
+++ b/crates/daemon/src/election/mod.rs
@@ -10,6 +10,7 @@
 mod task;
 
 pub use command::Command;
+pub use inputs::Avoid;
 pub use inputs::CallError;
 pub use inputs::Elected;
 pub use inputs::Inputs;
--- a/crates/daemon/src/election/task.rs
+++ b/crates/daemon/src/election/task.rs
@@ -64,7 +64,7 @@
         election: Election::new(members, inputs.timing, rand::random()),
         candidate: format!("{}/{:x}", inputs.host, inputs.incarnation),
         pending: FuturesUnordered::new(),
-        forced: false,
+        forced: None,
         shown_by: Duration::ZERO,
         repaired: Duration::ZERO,
         opinion,
@@ -95,8 +95,8 @@
     election: Election,
     candidate: String,
     pending: FuturesUnordered<BoxFuture<'static, Done>>,
-    /// A switchover was requested.
-    forced: bool,
+    /// A switchover was requested, of the primary of this term or an older one.
+    forced: Option<Term>,
     /// Until when the view may lag behind a promotion by this daemon.
     shown_by: Duration,
     repaired: Duration,
@@ -145,12 +145,22 @@
         });
         self.election.on_term(view.term);
         let promoted = self.elected.borrow().as_ref().map_or(0, |e| e.term);
+        if self.forced.is_some_and(|replaces| view.term > replaces) && view.primary.is_some() {
+            self.forced = None;
+            self.election.set_preferred(None);
+        }
+        self.election.set_avoided((self.inputs.avoid)());
         let unseen = view.term < promoted && now < self.shown_by;
-        let needed = self.forced || (!unseen && self.suspicion.needs_primary(&peers, now));
+        let needed =
+            self.forced.is_some() || (!unseen && self.suspicion.needs_primary(&peers, now));
         let turn = self
             .suspicion
             .turn(&self.inputs.host, &self.inputs.database, &peers, now);
-        let delay = GATHER + TURN * u32::try_from(turn).unwrap_or(u32::MAX);
+        let delay = match self.forced {
+            // One daemon orders a planned change, so there are no turns to take.
+            Some(_) => Duration::ZERO,
+            None => GATHER + TURN * u32::try_from(turn).unwrap_or(u32::MAX),
+        };
         if needed && !self.election.is_active() {
             tracing::warn!(
                 event = 4201,
@@ -176,9 +186,12 @@
     }
 
     fn command(&mut self, command: Command) {
-        let Command::Switchover { preferred } = command;
+        let Command::Switchover {
+            preferred,
+            replaces,
+        } = command;
         self.election.set_preferred(preferred);
-        self.forced = true;
+        self.forced = Some(replaces);
     }
 
     fn done(&mut self, done: Done) {
@@ -212,7 +225,7 @@
                         term,
                         "promoted a new primary"
                     );
-                    self.forced = false;
+                    self.forced = None;
                     self.election.set_preferred(None);
                     self.shown_by = self.now() + SHOW;
                     self.elected.send_replace(Some(Elected { member, term }));
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -102,7 +102,10 @@
         if let Some(position) = position {
             group.on_answer(&member, position, sent);
         }
+        // A planned change of primary waits until the answer is confirmed.
+        let mut primary = None;
         if status == Some(TxStatus::Idle) {
+            primary = lease.take_primary_use();
             lease.give_back(TxStatus::Idle);
         } else {
             self.lease = Some(lease);
@@ -140,6 +143,7 @@
             tracing::warn!(event = 215, member, ?position, "answer not confirmed");
             return Err(Refusal::Unconfirmed.into());
         }
+        drop(primary);
         let before = self.seen;
         if let Some(position) = position {
             self.saw(position);
--- a/crates/daemon/src/front/execute.rs
+++ b/crates/daemon/src/front/execute.rs
@@ -11,6 +11,7 @@
 use magnoliahatch_core::session::TxStatus;
 
 use crate::databases::database::Database;
+use crate::databases::gate::PrimaryUse;
 use crate::front::batch::Batch;
 use crate::front::cancel;
 use crate::front::refusal::Refusal;
@@ -158,9 +159,12 @@
     pub(crate) async fn find_lease(&self, attempt: &mut Attempt) -> Result<Lease, Refusal> {
         let organisation = &self.identity.organisation;
         loop {
-            let pool = self.find_pool(attempt).await?;
+            let (pool, primary) = self.find_pool(attempt).await?;
             match pool.lease(organisation, attempt.deadline).await {
-                Ok(lease) => return Ok(lease),
+                Ok(mut lease) => {
+                    lease.set_primary_use(primary);
+                    return Ok(lease);
+                }
                 Err(LeaseError::Open(_)) if attempt.replica => attempt.replica = false,
                 Err(LeaseError::Open(error)) => {
                     tracing::debug!(event = 212, member = pool.member, %error, "cannot connect");
@@ -174,7 +178,10 @@
         }
     }
 
-    async fn find_pool(&self, attempt: &mut Attempt) -> Result<Arc<MemberPool>, Refusal> {
+    async fn find_pool(
+        &self,
+        attempt: &mut Attempt,
+    ) -> Result<(Arc<MemberPool>, Option<PrimaryUse>), Refusal> {
         let database = &attempt.database;
         if attempt.replica {
             let need = ReadNeed {
@@ -185,7 +192,7 @@
             if let Choice::Replica(name) = database.choose(need, &view, &self.context.data_centre)
                 && let Some(pool) = database.pool(&name)
             {
-                return Ok(Arc::clone(pool));
+                return Ok((Arc::clone(pool), None));
             }
             attempt.replica = false;
         }
@@ -193,7 +200,8 @@
         // answers are not confirmed, so waiting for the new one is a matter of time only.
         let seen_term = self.seen.map_or(0, |seen| seen.term);
         let primary = database.primary(seen_term, attempt.deadline).await;
-        primary.ok_or(Refusal::NoPrimary)
+        let (pool, primary) = primary.ok_or(Refusal::NoPrimary)?;
+        Ok((pool, Some(primary)))
     }
 
     /// Sends the request on the leased connection and relays the answer: the member that answered,
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -226,7 +226,7 @@
         }
         if has_code(&error, UNDEFINED_TABLE) {
             let pool = attempt.database.primary(0, attempt.deadline).await;
-            let pool = pool.ok_or(Refusal::NoPrimary)?;
+            let (pool, _primary) = pool.ok_or(Refusal::NoPrimary)?;
             let organisation = &self.identity.organisation;
             let mut lease = pool.lease(organisation, attempt.deadline).await?;
             let needs = self.needs(&mut lease);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod pool;
 pub mod report;
 pub mod settings;
+pub mod switchover;
 pub mod verbs;
 pub mod wire;
--- a/crates/daemon/src/mesh/frame.rs
+++ b/crates/daemon/src/mesh/frame.rs
@@ -17,7 +17,7 @@
 
 /// Version of the format. It is the first byte of every frame, so that it can be read whatever
 /// follows.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// Content of a frame.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -29,7 +29,8 @@
     LoanRequest(Vec<(LimitId, LoanRequest)>),
     LoanGrant(Vec<(LimitId, LoanGrant)>),
     ConfigPull(Revision),
-    /// Sent between heartbeats when an opinion changes, since an election waits for opinions.
+    /// Sent between heartbeats when an opinion or a planned change of primary changes, since
+    /// statements wait for both.
     Announce(Announcement),
     /// A configuration patch as JSON: the objects' values have no fixed shape, which postcard needs.
     ConfigPush(String),
--- a/crates/daemon/src/mesh/handle.rs
+++ b/crates/daemon/src/mesh/handle.rs
@@ -141,7 +141,7 @@
         mut requests: mpsc::Receiver<(HostId, u64, Body)>,
     ) {
         self.set_peers(&config.borrow_and_update().clone());
-        let mut opinions = announcement.borrow_and_update().opinions.clone();
+        let mut told = announcement.borrow_and_update().clone();
         loop {
             tokio::select! {
                 frame = frames.recv() => match frame {
@@ -158,8 +158,8 @@
                 Some((to, request, body)) = requests.recv() => self.send(&to, request, body),
                 Ok(()) = announcement.changed() => {
                     let announcement = announcement.borrow_and_update().clone();
-                    if announcement.opinions != opinions {
-                        opinions = announcement.opinions.clone();
+                    if announcement.is_urgent_after(&told) {
+                        told = announcement.clone();
                         for peer in self.peers.keys() {
                             self.send(peer, 0, Body::Announce(announcement.clone()));
                         }
--- a/crates/daemon/src/monitor/group.rs
+++ b/crates/daemon/src/monitor/group.rs
@@ -1,6 +1,7 @@
 //! What this daemon knows of one database group.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -40,6 +41,9 @@
     /// Shortest age in milliseconds that reads asked for since the last probe of the primary.
     asked: AtomicU64,
     nudge: Notify,
+    hurry: Notify,
+    /// A planned change of primary is under way, so probes are frequent.
+    hurried: AtomicBool,
 }
 
 impl Group {
@@ -51,6 +55,8 @@
             ring: Mutex::new(PositionRing::new(RING_CAPACITY)),
             asked: AtomicU64::new(u64::MAX),
             nudge: Notify::new(),
+            hurry: Notify::new(),
+            hurried: AtomicBool::new(false),
         }
     }
 
@@ -137,9 +143,30 @@
         self.nudge.notified()
     }
 
+    /// Probes often while a planned change of primary is under way, so that held statements soon
+    /// find the new primary.
+    pub fn set_hurried(&self, hurried: bool) {
+        if !self.hurried.swap(hurried, Ordering::Relaxed) && hurried {
+            self.hurry.notify_waiters();
+        }
+    }
+
+    /// Returns once a planned change of primary begins.
+    pub fn hurry(&self) -> Notified<'_> {
+        self.hurry.notified()
+    }
+
+    /// State of a member, as last heard.
+    pub fn member(&self, name: &MemberId) -> Option<MemberView> {
+        self.view.borrow().members.get(name).cloned()
+    }
+
     /// Time until the next probe. Probes are frequent only while reads accept a short age.
     pub fn interval(&self) -> Duration {
         let asked = self.asked.swap(u64::MAX, Ordering::Relaxed);
+        if self.hurried.load(Ordering::Relaxed) {
+            return FAST_INTERVAL;
+        }
         (Duration::from_millis(asked) / PROBES_PER_AGE).clamp(FAST_INTERVAL, SLOW_INTERVAL)
     }
 
--- a/crates/daemon/src/monitor/probe.rs
+++ b/crates/daemon/src/monitor/probe.rs
@@ -43,6 +43,7 @@
             tokio::select! {
                 _ = alive.changed() => return,
                 () = tokio::time::sleep(group.interval()) => {}
+                () = group.hurry() => {}
                 // Answers tell the primary's position, so only replicas are asked early.
                 () = early, if !primary => {}
             }
--- a/crates/daemon/src/pool/lease.rs
+++ b/crates/daemon/src/pool/lease.rs
@@ -4,6 +4,7 @@
 
 use magnoliahatch_core::session::TxStatus;
 
+use crate::databases::gate::PrimaryUse;
 use crate::limits::ConnectionPermit;
 use crate::pool::connection::Connection;
 use crate::pool::member_pool::MemberPool;
@@ -15,6 +16,8 @@
     pool: Arc<MemberPool>,
     connection: Option<Connection>,
     permit: ConnectionPermit,
+    /// Admission to the primary; none at a replica.
+    primary: Option<PrimaryUse>,
 }
 
 impl Lease {
@@ -27,6 +30,7 @@
             pool,
             connection: Some(connection),
             permit,
+            primary: None,
         }
     }
 
@@ -34,6 +38,16 @@
         &self.pool
     }
 
+    /// Keeps the admission to the primary as long as the lease.
+    pub(crate) fn set_primary_use(&mut self, primary: Option<PrimaryUse>) {
+        self.primary = primary;
+    }
+
+    /// Takes the admission to the primary, to be kept until the answer is complete.
+    pub(crate) fn take_primary_use(&mut self) -> Option<PrimaryUse> {
+        self.primary.take()
+    }
+
     pub fn connection(&mut self) -> &mut Connection {
         self.connection
             .as_mut()
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -14,15 +14,13 @@
 use crate::admin::hooks::SwitchoverError;
 use crate::config::handle::ConfigHandle;
 use crate::control::Control;
-use crate::election::Command;
 use crate::front::context::Context;
 use crate::mesh::Mesh;
 use crate::peers::fleet::Fleet;
+use crate::switchover::order;
 
 /// Age after which a peer's announcement is not taken for its state.
 const REPORT_AGE: Duration = Duration::from_secs(4);
-/// Longest time for a planned change of primary.
-const SWITCHOVER_LIMIT: Duration = Duration::from_secs(6);
 
 /// Sources of the reports.
 #[derive(Debug, Clone)]
@@ -125,27 +123,11 @@
     async fn switchover(
         &self,
         database: DatabaseId,
-        order: SwitchoverOrder,
+        wanted: SwitchoverOrder,
     ) -> Result<SwitchoverDone, SwitchoverError> {
         let Some(group) = self.context.directory.get(&database, &self.config.view()) else {
             return Err(SwitchoverError::NoMajority);
         };
-        let mut elected = group.election.elected.clone();
-        elected.mark_unchanged();
-        let command = Command::Switchover {
-            preferred: order.member,
-        };
-        if group.election.commands.send(command).await.is_err() {
-            return Err(SwitchoverError::TimedOut);
-        }
-        let changed = tokio::time::timeout(SWITCHOVER_LIMIT, elected.changed()).await;
-        let elected = elected.borrow_and_update().clone();
-        match (changed, elected) {
-            (Ok(Ok(())), Some(done)) => Ok(SwitchoverDone {
-                member: done.member,
-                term: done.term,
-            }),
-            _ => Err(SwitchoverError::TimedOut),
-        }
+        order::run(&self.fleet, &group, wanted.member).await
     }
 }
--- /dev/null
+++ b/crates/daemon/src/switchover/duty.rs
@@ -0,0 +1,64 @@
+//! Replaces primaries that operators have taken out of service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_core::ids::DatabaseId;
+
+use crate::databases::database::Database;
+use crate::databases::directory::Directory;
+use crate::peers::fleet::Fleet;
+use crate::switchover::candidate;
+use crate::switchover::order;
+
+/// Interval at which the primaries are looked at.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two attempts for one database.
+const REPEAT: Duration = Duration::from_secs(2);
+
+/// Starts the task. It orders changes of the databases that rendezvous hashing assigns to this
+/// host; a second host that acts at the same time does no harm, since terms decide.
+pub fn spawn(fleet: Fleet, directory: Arc<Directory>) {
+    tokio::spawn(async move {
+        let mut tried = BTreeMap::<DatabaseId, Instant>::new();
+        loop {
+            for database in directory.all() {
+                let recent = tried
+                    .get(&database.name)
+                    .is_some_and(|at| at.elapsed() < REPEAT);
+                if !recent && is_due(&fleet, &database) {
+                    tried.insert(database.name.clone(), Instant::now());
+                    tokio::spawn(replace(fleet.clone(), database));
+                }
+            }
+            tokio::time::sleep(INTERVAL).await;
+        }
+    });
+}
+
+fn is_due(fleet: &Fleet, database: &Database) -> bool {
+    let Some((primary, _)) = database.group.primary() else {
+        return false;
+    };
+    if candidate::in_service(database, &primary, fleet) || database.changing.try_lock().is_err() {
+        return false;
+    }
+    let (vouched, _) = fleet.limits.seat();
+    let next = candidate::choose(database, &primary, fleet);
+    vouched
+        && fleet.orders_changes(&database.name)
+        && next.is_some_and(|next| candidate::in_service(database, &next, fleet))
+}
+
+async fn replace(fleet: Fleet, database: Arc<Database>) {
+    if let Err(error) = order::run(&fleet, &database, None).await {
+        tracing::warn!(
+            event = 243,
+            database = database.name,
+            %error,
+            "a primary that is out of service was not replaced"
+        );
+    }
+}
--- a/crates/daemon/tests/election/group.rs
+++ b/crates/daemon/tests/election/group.rs
@@ -1,6 +1,7 @@
 //! A group of three stand-ins and daemons that watch it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -227,6 +228,7 @@
             view: seen,
             peers: heard,
             call,
+            avoid: Arc::new(BTreeSet::new),
             patience: Patience::default(),
             timing: Default::default(),
         });
--- a/crates/daemon/tests/election/main.rs
+++ b/crates/daemon/tests/election/main.rs
@@ -210,7 +210,12 @@
     })
     .await;
     let preferred = Some("m3".to_owned());
-    daemon.command(Command::Switchover { preferred }).await;
+    daemon
+        .command(Command::Switchover {
+            preferred,
+            replaces: 1,
+        })
+        .await;
     let elected = daemon.elected().await;
     assert_eq!(elected.member, "m3");
     group.confirmed_insert("m3", 2).await;
--- a/crates/daemon/tests/mesh.rs
+++ b/crates/daemon/tests/mesh.rs
@@ -20,6 +20,7 @@
 use magnoliahatch_daemon::mesh::frame::Body;
 use magnoliahatch_daemon::mesh::frame::Frame;
 use magnoliahatch_daemon::mesh::frame::FrameError;
+use magnoliahatch_daemon::mesh::frame::VERSION;
 use tempfile::TempDir;
 
 /// Guards against a frame of another version that is read as if it were this one.
@@ -33,11 +34,12 @@
     };
     let mut data = frame.encode().unwrap();
     assert_eq!(Frame::decode(&data), Ok(frame));
-    data[0] = 2;
-    assert_eq!(Frame::decode(&data), Err(FrameError::Version(2)));
+    let unknown = VERSION + 1;
+    data[0] = unknown;
+    assert_eq!(Frame::decode(&data), Err(FrameError::Version(unknown)));
     assert_eq!(Frame::decode(&[]), Err(FrameError::Empty));
     assert!(matches!(
-        Frame::decode(&[1, 200]),
+        Frame::decode(&[VERSION, 200]),
         Err(FrameError::Format(_))
     ));
 }
