Follow drains and confirm answers of a new primary by its own term

The drain state machine was driven by nothing. Each daemon now counts data connections, the role of primary and callers' sessions by endpoint, host and data centre; connections to a leaving member are closed as they become idle. Peers announce what they have left, and GET /status and 'magnoliahatch status' show what remains of each leaving subject and which hosts are waited for.

A new primary may answer with a position of the older term until it has applied its first entry. The confirmer took the newer term for a lost primary and reported 08007. Such an answer is now confirmed by the same index in the term in which the member was admitted.

A session that ends reads what the caller still sends, for up to 2 s: closing a socket with unread data resets it, and callers lost the refusal. The load tool returns the refusal of a fatal error instead of 'lost'.

--- a/crates/bench/src/load/connection.rs
+++ b/crates/bench/src/load/connection.rs
@@ -105,7 +105,13 @@
             match self.receive().await? {
                 PgWireBackendMessage::DataRow(row) => answer.rows.push(answer::columns(row.data)),
                 PgWireBackendMessage::CommandComplete(complete) => answer.tag = complete.tag,
-                PgWireBackendMessage::ErrorResponse(error) => failure = Some(refused(&error)),
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    let refused = refused(&error);
+                    if !refused.keeps_connection() {
+                        return Err(refused);
+                    }
+                    failure = Some(refused);
+                }
                 PgWireBackendMessage::ReadyForQuery(ready) => {
                     self.idle = ready.status == TransactionStatus::Idle;
                     return failure.map_or(Ok(answer), Err);
@@ -163,5 +169,6 @@
         code: field(b'C'),
         message: field(b'M'),
         detail: field(b'D'),
+        fatal: field(b'S') == "FATAL",
     }
 }
--- a/crates/bench/src/load/failure.rs
+++ b/crates/bench/src/load/failure.rs
@@ -18,6 +18,8 @@
         code: String,
         message: String,
         detail: String,
+        /// The session ended with it.
+        fatal: bool,
     },
 }
 
@@ -60,6 +62,6 @@
 
     /// Whether the connection may be used again.
     pub fn keeps_connection(&self) -> bool {
-        matches!(self, Self::Refused { .. })
+        matches!(self, Self::Refused { fatal: false, .. })
     }
 }
--- a/crates/bench/src/load/fault_plan.rs
+++ b/crates/bench/src/load/fault_plan.rs
@@ -64,6 +64,10 @@
     Switchover {
         database: String,
     },
+    /// Waits until `GET /status` of the last host reports that nothing is left of a subject.
+    AwaitDrained {
+        subject: String,
+    },
     /// Counts the statements of callers' connections that a member receives in a time.
     CountWork {
         member: String,
@@ -94,6 +98,8 @@
 pub struct Injected {
     /// Time since the start of the load.
     pub at: Duration,
+    /// When it was complete.
+    pub ended: Duration,
     pub action: FaultAction,
     /// Process that it hit.
     pub process: Option<String>,
--- a/crates/bench/src/load/injector.rs
+++ b/crates/bench/src/load/injector.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use magnoliahatch_client::admin::FleetStatus;
 use magnoliahatch_client::admin::client::AdminClient;
+use magnoliahatch_client::admin::client_error::AdminClientError;
 use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
 use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
 use magnoliahatch_client::objects::kind;
@@ -11,6 +13,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use crate::fault::api::LinkChange;
 use crate::fault::mode::LinkMode;
@@ -28,6 +31,8 @@
 const STOP_LIMIT: Duration = Duration::from_secs(40);
 /// User of the connections that carry callers' statements.
 const DATA_USER: &str = "proxy";
+/// Limit of a drain under load; the sessions have short transactions.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
 /// Interval at which the end of a process is checked.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -66,6 +71,7 @@
             };
             Injected {
                 at,
+                ended: start.elapsed(),
                 action: fault.action,
                 process: hit.process,
                 statements: hit.statements,
@@ -142,6 +148,34 @@
             done.map_err(failed)?;
             Ok(Hit::of(&old))
         }
+        FaultAction::AwaitDrained { subject } => {
+            let admin = {
+                let mut fleet = fleet.lock().await;
+                let host = fleet.plan().hosts.last().map(|host| host.name.clone());
+                fleet.process(&host.unwrap_or_default())?.listen("admin")?
+            };
+            let mut last = String::new();
+            let drained = async {
+                let client = AdminClient::open(vec![admin.to_string()])?;
+                loop {
+                    let status: FleetStatus = client.get("/status").await?;
+                    let leaving = status.leaving.get(subject);
+                    if leaving.is_some_and(|leaving| leaving.done) {
+                        return Ok::<_, AdminClientError>(());
+                    }
+                    last = format!("{leaving:?}");
+                    sleep(POLL).await;
+                }
+            };
+            let done = timeout(DRAIN_LIMIT, drained).await;
+            match done {
+                Ok(Ok(())) => Ok(Hit::default()),
+                Ok(Err(error)) => Err(HarnessError::Condition(error.to_string())),
+                Err(_) => Err(HarnessError::Condition(format!(
+                    "{subject} drained: {last}"
+                ))),
+            }
+        }
         FaultAction::CountWork { member, for_ms } => {
             let address = fleet.lock().await.member(member)?;
             let silent = || HarnessError::Condition(format!("{member} answers"));
--- a/crates/bench/tests/leaving/endpoint.rs
+++ b/crates/bench/tests/leaving/endpoint.rs
@@ -5,6 +5,7 @@
 use crate::support::assert_undisturbed;
 use crate::support::count;
 use crate::support::counted;
+use crate::support::drained;
 use crate::support::place;
 use crate::support::run;
 
@@ -29,6 +30,7 @@
         8500,
         json!([
             place(500, "endpoint/m2", "out"),
+            drained(700, "endpoint/m2"),
             count(3500, "m2"),
             place(4600, "endpoint/m2", "in"),
             count(7400, "m2"),
@@ -48,6 +50,7 @@
         8500,
         json!([
             place(500, "endpoint/m1", "out"),
+            drained(700, "endpoint/m1"),
             count(3500, "m1"),
             place(4600, "endpoint/m1", "in"),
             count(7400, "m1"),
--- a/crates/bench/tests/leaving/main.rs
+++ b/crates/bench/tests/leaving/main.rs
@@ -2,4 +2,5 @@
 //! centres leave service and return. The binaries of the workspace must have been built.
 
 mod endpoint;
+mod host;
 mod support;
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -94,6 +94,7 @@
             code: code.to_owned(),
             message: String::new(),
             detail: detail.to_owned(),
+            fatal: false,
         };
         failure.outcome()
     };
@@ -164,6 +165,7 @@
 fn failover_gap_ignores_answers_in_transit_and_writes_that_were_not_acknowledged() {
     let fault = Injected {
         statements: None,
+        ended: Duration::ZERO,
         at: Duration::from_millis(1000),
         action: FaultAction::KillPrimary {
             database: "db".to_owned(),
--- a/crates/client/src/admin.rs
+++ b/crates/client/src/admin.rs
@@ -4,6 +4,7 @@
 pub mod client_error;
 pub mod contract_report;
 pub mod contract_terms;
+pub mod leaving;
 pub mod placement_body;
 pub mod problem;
 pub mod source;
@@ -21,6 +22,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::admin::leaving::Leaving;
+
 /// Answer to an accepted change.
 #[derive(Debug, Serialize, Deserialize, JsonSchema)]
 pub struct Accepted {
@@ -40,6 +43,9 @@
 pub struct FleetStatus {
     pub revision: Revision,
     pub hosts: BTreeMap<HostId, HostReport>,
+    /// What is out of service, named as in its placement, such as `endpoint/m1`.
+    #[serde(default)]
+    pub leaving: BTreeMap<String, Leaving>,
 }
 
 impl FleetStatus {
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -57,10 +57,16 @@
         if subjects.iter().any(|subject| !self.takes_work(subject)) {
             return false;
         }
+        self.on_required(subjects);
+        true
+    }
+
+    /// Starts a piece of work that can run nowhere else, although a subject may be leaving, such
+    /// as a connection to a primary that is not replaced yet.
+    pub fn on_required(&mut self, subjects: &[DrainSubject]) {
         for subject in subjects {
             *self.work.entry(subject.clone()).or_default() += 1;
         }
-        true
     }
 
     /// Ends a piece of work that was started.
--- a/crates/ctl/src/commands/fleet.rs
+++ b/crates/ctl/src/commands/fleet.rs
@@ -31,19 +31,26 @@
 pub(super) async fn status(client: &AdminClient) -> Result<Report, CtlError> {
     let status: FleetStatus = client.get("/status").await?;
     let yes = |flag: bool| if flag { "yes" } else { "no" }.to_owned();
-    let rows = status
-        .hosts
-        .iter()
-        .map(|(name, host)| {
-            vec![
-                name.clone(),
-                host.revision.to_string(),
-                yes(host.revision >= status.revision),
-                yes(host.vouched),
-                yes(host.draining),
-            ]
-        })
-        .collect();
+    let hosts = status.hosts.iter().map(|(name, host)| {
+        vec![
+            name.clone(),
+            host.revision.to_string(),
+            yes(host.revision >= status.revision),
+            yes(host.vouched),
+            yes(host.draining),
+        ]
+    });
+    let leaving = status.leaving.iter().map(|(subject, leaving)| {
+        let state = if leaving.done {
+            "done".to_owned()
+        } else {
+            let waiting = leaving.waiting.join(", ");
+            format!("{} left, waiting for {waiting}", leaving.remaining)
+        };
+        let none = String::new;
+        vec![subject.clone(), none(), none(), none(), state]
+    });
+    let rows = hosts.chain(leaving).collect();
     let header = ["HOST", "REVISION", "CURRENT", "VOUCHED", "DRAINING"];
     Report::new(&header, rows, &status)
 }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -44,6 +44,7 @@
         let hosts = Arc::new(Mutex::new(FleetStatus {
             revision: u64::MAX,
             hosts: Default::default(),
+            leaving: Default::default(),
         }));
         let status = Arc::clone(&hosts);
         let hooks = Hooks {
@@ -52,6 +53,7 @@
                 FleetStatus {
                     revision: status.revision,
                     hosts: status.hosts.clone(),
+                    leaving: status.leaving.clone(),
                 }
             }),
             metrics: Arc::new(String::new),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,6 +20,8 @@
 use crate::config::handle::ConfigHandle;
 use crate::control::Control;
 use crate::databases::directory::Directory;
+use crate::drains;
+use crate::drains::Drains;
 use crate::front::cancel::Cancels;
 use crate::front::context::Context;
 use crate::front::listener::Listener;
@@ -104,6 +106,7 @@
             &announcement,
         )
     })?;
+    let drains = Drains::new(start);
     let fleet = Fleet {
         host: host.clone(),
         incarnation,
@@ -116,6 +119,7 @@
         config: views.clone(),
         region: settings.region.clone(),
         orders: Orders::default(),
+        drains: drains.clone(),
     };
     let directory = control.enter(|| Directory::spawn(views.clone(), fleet.clone()));
     let (stop, stopping) = watch::channel(false);
@@ -128,6 +132,7 @@
         limits,
         directory: Arc::clone(&directory),
         metrics,
+        drains: drains.clone(),
         stop: stopping,
         cancels: Cancels::default(),
     });
@@ -144,6 +149,7 @@
     };
     let listener = bind_sql(settings.listen.sql, acceptor, &context).await?;
     let mesh = control.enter(|| {
+        drains::spawn(drains, views.clone());
         follow::spawn(fleet.clone(), Arc::clone(&directory));
         duty::spawn(fleet.clone(), Arc::clone(&directory));
         announce::spawn(
--- a/crates/daemon/src/databases/database.rs
+++ b/crates/daemon/src/databases/database.rs
@@ -26,6 +26,7 @@
 use crate::confirm::freshness::Freshness;
 use crate::databases::gate::Gate;
 use crate::databases::gate::PrimaryUse;
+use crate::databases::leaving;
 use crate::election;
 use crate::election::Avoid;
 use crate::election::Inputs;
@@ -72,12 +73,18 @@
         let pools: BTreeMap<_, _> = members
             .iter()
             .map(|member| {
-                let limits = fleet.limits.clone();
-                let id = member.name.clone();
-                let pool = MemberPool::spawn(name.clone(), id, member.address, limits);
+                let (limits, drains) = (fleet.limits.clone(), fleet.drains.clone());
+                let pool = MemberPool::spawn(name.clone(), member.clone(), limits, drains);
                 (member.name.clone(), pool)
             })
             .collect();
+        leaving::spawn(
+            members.clone(),
+            pools.clone(),
+            Arc::clone(&group),
+            fleet,
+            alive.subscribe(),
+        );
         for pool in pools.values() {
             monitor::spawn(Arc::clone(&group), Arc::clone(pool), alive.subscribe());
         }
--- a/crates/daemon/src/databases/gate.rs
+++ b/crates/daemon/src/databases/gate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use magnoliahatch_core::ids::Term;
+use magnoliahatch_core::position::LogPosition;
 use tokio::sync::watch;
 
 /// State of a gate.
@@ -30,7 +31,10 @@
             state.active += usize::from(entered);
             false
         });
-        entered.then(|| PrimaryUse(self.clone()))
+        entered.then(|| PrimaryUse {
+            gate: self.clone(),
+            term,
+        })
     }
 
     /// Closes primaries up to a term, or opens the gate; whether this changed it.
@@ -54,11 +58,28 @@
 
 /// One piece of work at the primary; it ends when this is dropped.
 #[derive(Debug)]
-pub struct PrimaryUse(Gate);
+pub struct PrimaryUse {
+    gate: Gate,
+    /// Term in which the member was the primary when this was admitted.
+    term: Term,
+}
+
+impl PrimaryUse {
+    /// Position by which an answer is confirmed. A new primary may answer with a position of an
+    /// older term until it has applied its own first entry. That part of its log is confirmed as
+    /// soon as the same index is confirmed in the primary's own term: a member that leaves a term
+    /// never returns to it, so its log was the same when it answered.
+    pub(crate) fn confirmed_as(&self, position: LogPosition) -> LogPosition {
+        LogPosition {
+            term: position.term.max(self.term),
+            ..position
+        }
+    }
+}
 
 impl Drop for PrimaryUse {
     fn drop(&mut self) {
-        self.0.state.send_if_modified(|state| {
+        self.gate.state.send_if_modified(|state| {
             state.active -= 1;
             state.closed.is_some()
         });
--- a/crates/daemon/src/databases/mod.rs
+++ b/crates/daemon/src/databases/mod.rs
@@ -3,3 +3,4 @@
 pub mod database;
 pub mod directory;
 pub mod gate;
+mod leaving;
--- /dev/null
+++ b/crates/daemon/src/drains/handle.rs
@@ -0,0 +1,164 @@
+//! State of the drains on this host.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliahatch_client::config_view::ConfigView;
+use magnoliahatch_client::objects::member::Member;
+use magnoliahatch_client::objects::placement::Placement;
+use magnoliahatch_core::drain::Drain;
+use magnoliahatch_core::drain::DrainAction;
+use magnoliahatch_core::drain::DrainSubject;
+use tokio::sync::watch;
+
+use crate::drains::Work;
+
+/// Time after which work that remains is reported. Transactions at an old primary have ended by
+/// then, and a host's own stop has the same limit by default.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Wait while nothing drains; a change of the configuration ends it.
+const IDLE: Duration = Duration::from_secs(3600);
+
+/// Counts the work of this host by endpoint, host and data centre, and follows those that leave.
+#[derive(Debug, Clone)]
+pub struct Drains {
+    drain: Arc<Mutex<Drain>>,
+    start: Instant,
+}
+
+impl Drains {
+    pub fn new(start: Instant) -> Self {
+        Self {
+            drain: Arc::default(),
+            start,
+        }
+    }
+
+    /// Counts a connection to a member, or its role as primary.
+    pub fn at_member(&self, member: &Member) -> Work {
+        self.begin(vec![
+            DrainSubject::Endpoint(member.name.clone()),
+            DrainSubject::DataCentre(member.data_centre.clone()),
+        ])
+    }
+
+    /// Counts a caller's session.
+    pub fn session(&self, host: &str, data_centre: &str) -> Work {
+        self.begin(vec![
+            DrainSubject::Host(host.to_owned()),
+            DrainSubject::DataCentre(data_centre.to_owned()),
+        ])
+    }
+
+    /// Work left of each of the leaving subjects, named as in their placement.
+    pub fn remaining(&self, view: &ConfigView) -> BTreeMap<String, u32> {
+        let drain = self.lock();
+        let leaving = leaving(view).into_iter();
+        let counted = leaving.map(|subject| {
+            let left = drain.remaining(&subject);
+            (name(&subject), u32::try_from(left).unwrap_or(u32::MAX))
+        });
+        counted.collect()
+    }
+
+    fn begin(&self, subjects: Vec<DrainSubject>) -> Work {
+        let mut drain = self.lock();
+        if !drain.on_start(&subjects) {
+            drain.on_required(&subjects);
+        }
+        drop(drain);
+        Work::new(self.clone(), subjects)
+    }
+
+    pub(super) fn end(&self, subjects: &[DrainSubject]) {
+        let actions = self.lock().on_end(subjects);
+        log(actions);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Drain> {
+        self.drain.lock().expect("no holder of this lock panics")
+    }
+
+    fn update(&self, known: &mut BTreeSet<DrainSubject>, view: &ConfigView) {
+        let now = self.start.elapsed();
+        let wanted = leaving(view);
+        let mut drain = self.lock();
+        known.difference(&wanted).for_each(|back| drain.on_in(back));
+        let begun = wanted.difference(known);
+        let mut actions: Vec<_> = begun
+            .flat_map(|subject| drain.on_out(subject.clone(), LIMIT, now))
+            .collect();
+        actions.extend(drain.on_time(now));
+        drop(drain);
+        log(actions);
+        *known = wanted;
+    }
+}
+
+/// Starts the task that follows the placements.
+pub fn spawn(drains: Drains, mut config: watch::Receiver<Arc<ConfigView>>) {
+    tokio::spawn(async move {
+        let mut known = BTreeSet::new();
+        loop {
+            let view = Arc::clone(&config.borrow_and_update());
+            drains.update(&mut known, &view);
+            let due = drains.lock().deadline();
+            let due = due.unwrap_or(drains.start.elapsed() + IDLE);
+            tokio::select! {
+                changed = config.changed() => if changed.is_err() {
+                    return;
+                },
+                () = tokio::time::sleep_until((drains.start + due).into()) => {}
+            }
+        }
+    });
+}
+
+fn leaving(view: &ConfigView) -> BTreeSet<DrainSubject> {
+    let out = view
+        .placements
+        .iter()
+        .filter(|(_, state)| **state == Placement::Out);
+    out.filter_map(|(name, _)| subject(name)).collect()
+}
+
+fn subject(name: &str) -> Option<DrainSubject> {
+    let (kind, name) = name.split_once('/')?;
+    match kind {
+        "host" => Some(DrainSubject::Host(name.to_owned())),
+        "endpoint" => Some(DrainSubject::Endpoint(name.to_owned())),
+        "data-centre" => Some(DrainSubject::DataCentre(name.to_owned())),
+        _ => None,
+    }
+}
+
+fn name(subject: &DrainSubject) -> String {
+    match subject {
+        DrainSubject::Host(name) => format!("host/{name}"),
+        DrainSubject::Endpoint(name) => format!("endpoint/{name}"),
+        DrainSubject::DataCentre(name) => format!("data-centre/{name}"),
+    }
+}
+
+fn log(actions: Vec<DrainAction>) {
+    for action in actions {
+        match action {
+            DrainAction::Drained { subject } => tracing::info!(
+                event = 244,
+                subject = name(&subject),
+                "no work of this host is left"
+            ),
+            DrainAction::Expired { subject, remaining } => tracing::warn!(
+                event = 245,
+                subject = name(&subject),
+                remaining,
+                "work is left at the time limit of the drain"
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/drains/mod.rs
@@ -0,0 +1,9 @@
+//! Follows endpoints, hosts and data centres that leave service until their work on this host has
+//! ended.
+
+mod handle;
+mod work;
+
+pub use handle::Drains;
+pub use handle::spawn;
+pub use work::Work;
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -97,6 +97,7 @@
         attempt: &Attempt,
     ) -> Result<(), Failure> {
         let position = lease.connection().position;
+        let awaited = position.map(|position| lease.confirmed_as(position));
         let member = lease.pool().member.clone();
         let group = &attempt.database.group;
         if let Some(position) = position {
@@ -120,7 +121,7 @@
             self.skipping = relay.error.is_some();
             return Ok(());
         };
-        let confirmed = match position {
+        let confirmed = match awaited {
             _ if attempt.replica => true,
             Some(position) => {
                 let confirmer = &attempt.database.confirmer;
--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
 use tokio_util::codec::Framed;
 
 use crate::wire::frame::Frame;
@@ -54,6 +55,18 @@
             .await
             .map_err(|_| stalled())?
     }
+
+    /// Ends the connection after a last message. What the caller sends meanwhile is read, since
+    /// closing a socket with unread data resets it, and the caller could lose that message.
+    pub(crate) async fn close(&mut self, deadline: Instant) {
+        let closing = async {
+            if self.frames.get_mut().shutdown().await.is_ok() {
+                while let Some(Ok(_)) = self.frames.next().await {}
+            }
+        };
+        // A caller that keeps its side open past the deadline is cut off.
+        let _ = tokio::time::timeout_at(deadline.into(), closing).await;
+    }
 }
 
 fn stalled() -> FrameError {
--- a/crates/daemon/src/front/context.rs
+++ b/crates/daemon/src/front/context.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::databases::directory::Directory;
+use crate::drains::Drains;
 use crate::front::cancel::Cancels;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
@@ -21,6 +22,7 @@
     pub limits: Limits,
     pub directory: Arc<Directory>,
     pub metrics: Metrics,
+    pub drains: Drains,
     /// True once a planned stop began.
     pub stop: watch::Receiver<bool>,
     pub(crate) cancels: Cancels,
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -191,10 +191,12 @@
         let rows = query(&mut lease, &self.as_owner(&select)).await;
         let rows = rows.map_err(Setback::NotRun)?;
         let position = lease.connection().position;
+        let awaited = position.map(|position| lease.confirmed_as(position));
         lease.give_back(TxStatus::Idle);
         let confirmer = &attempt.database.confirmer;
         let position = position.ok_or(Refusal::Unconfirmed)?;
-        if confirmer.wait(position, attempt.deadline).await != Verdict::Confirmed {
+        let awaited = awaited.unwrap_or(position);
+        if confirmer.wait(awaited, attempt.deadline).await != Verdict::Confirmed {
             return Err(Refusal::Unconfirmed.into());
         }
         self.saw(position);
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -11,6 +11,7 @@
 use magnoliahatch_core::variable::SetVariable;
 use tokio::sync::watch;
 
+use crate::drains;
 use crate::front::auth::Identity;
 use crate::front::batch;
 use crate::front::batch::Batch;
@@ -71,6 +72,7 @@
     postponed: Option<Refusal>,
     config: watch::Receiver<Arc<magnoliahatch_client::config_view::ConfigView>>,
     stop: watch::Receiver<bool>,
+    _work: drains::Work,
 }
 
 impl Drop for Session {
@@ -84,6 +86,7 @@
         let (key, cancel) = context.cancels.register();
         let config = context.config.clone();
         let stop = context.stop.clone();
+        let work = context.drains.session(&context.host, &context.data_centre);
         Self {
             context,
             client,
@@ -104,6 +107,7 @@
             postponed: None,
             config,
             stop,
+            _work: work,
         }
     }
 
@@ -161,6 +165,7 @@
                 .is_ok()
             {
                 let _ = self.client.flush(deadline).await;
+                self.client.close(deadline).await;
             }
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod daemon;
 pub mod databases;
+pub mod drains;
 pub mod election;
 pub mod front;
 pub mod limits;
--- a/crates/daemon/src/mesh/announcement.rs
+++ b/crates/daemon/src/mesh/announcement.rs
@@ -20,6 +20,8 @@
     pub opinions: BTreeMap<DatabaseId, Opinion>,
     pub draining: bool,
     pub region: String,
+    /// Work left of what leaves service, named as in its placement.
+    pub leaving: BTreeMap<String, u32>,
     /// Planned changes of primary that the host has ordered: the terms of the old primaries.
     pub orders: BTreeMap<DatabaseId, Term>,
     /// Databases whose primary gets no new work from the host until it is replaced.
@@ -29,7 +31,15 @@
 impl Announcement {
     /// Whether peers must hear of this state before the next heartbeat.
     pub(crate) fn is_urgent_after(&self, told: &Self) -> bool {
-        self.opinions != told.opinions || self.orders != told.orders || self.closed != told.closed
+        self.opinions != told.opinions
+            || self.orders != told.orders
+            || self.closed != told.closed
+            || self.drained() != told.drained()
+    }
+
+    fn drained(&self) -> Vec<&String> {
+        let done = self.leaving.iter().filter(|(_, left)| **left == 0);
+        done.map(|(subject, _)| subject).collect()
     }
 }
 
--- a/crates/daemon/src/peers/announce.rs
+++ b/crates/daemon/src/peers/announce.rs
@@ -40,6 +40,7 @@
                     .is_some_and(|reached| reached.elapsed() < REACHED),
                 opinions: opinions(&directory),
                 draining: context.is_draining(),
+                leaving: fleet.drains.remaining(&config.view()),
                 region: fleet.region.clone(),
                 orders: fleet.orders.all(),
                 closed: closed(&directory),
--- a/crates/daemon/src/peers/fleet.rs
+++ b/crates/daemon/src/peers/fleet.rs
@@ -14,6 +14,7 @@
 use magnoliahatch_core::suspicion::Peers;
 use tokio::sync::watch;
 
+use crate::drains::Drains;
 use crate::limits::Limits;
 use crate::mesh::Reports;
 use crate::mesh::peer_report::PeerReport;
@@ -35,6 +36,7 @@
     pub region: String,
     /// Planned changes of primary that this daemon has ordered.
     pub orders: Orders,
+    pub drains: Drains,
 }
 
 impl Fleet {
--- a/crates/daemon/src/pool/lease.rs
+++ b/crates/daemon/src/pool/lease.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use magnoliahatch_core::position::LogPosition;
 use magnoliahatch_core::session::TxStatus;
 
 use crate::databases::gate::PrimaryUse;
@@ -43,6 +44,12 @@
         self.primary = primary;
     }
 
+    /// Position by which an answer on this connection is confirmed.
+    pub(crate) fn confirmed_as(&self, position: LogPosition) -> LogPosition {
+        let primary = self.primary.as_ref();
+        primary.map_or(position, |primary| primary.confirmed_as(position))
+    }
+
     /// Takes the admission to the primary, to be kept until the answer is complete.
     pub(crate) fn take_primary_use(&mut self) -> Option<PrimaryUse> {
         self.primary.take()
--- a/crates/daemon/src/pool/member_pool.rs
+++ b/crates/daemon/src/pool/member_pool.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use magnoliahatch_client::objects::member::Member;
 use magnoliahatch_core::ids::DatabaseId;
 use magnoliahatch_core::ids::MemberId;
 use tokio::sync::watch;
 
+use crate::drains::Drains;
 use crate::limits::LimitError;
 use crate::limits::Limits;
 use crate::pool::connection::Connection;
@@ -48,6 +50,8 @@
     state: Mutex<State>,
     /// Open connections, busy or idle.
     open: Arc<OpenCount>,
+    place: Member,
+    drains: Drains,
     /// Connections that were last heard before this moment are considered silent.
     silent: watch::Sender<Option<Instant>>,
 }
@@ -56,16 +60,14 @@
 struct State {
     idle: Vec<Connection>,
     allowance: u32,
+    /// The member is leaving service, so connections are closed as they become idle.
+    leaving: bool,
 }
 
 impl MemberPool {
     /// Starts a pool; it follows the allowance until it is dropped.
-    pub fn spawn(
-        database: DatabaseId,
-        member: MemberId,
-        address: SocketAddr,
-        limits: Limits,
-    ) -> Arc<Self> {
+    pub fn spawn(database: DatabaseId, place: Member, limits: Limits, drains: Drains) -> Arc<Self> {
+        let (member, address) = (place.name.clone(), place.address);
         let mut allowance = limits.allowance(&database, &member);
         let first = *allowance.borrow_and_update();
         let open = OpenCount::new(limits.clone(), database.clone(), member.clone());
@@ -79,6 +81,8 @@
                 ..State::default()
             }),
             open,
+            place,
+            drains,
             silent: watch::Sender::new(None),
         });
         let weak = Arc::downgrade(&pool);
@@ -114,10 +118,11 @@
                 Err(_) => self.on_silence(asked),
             }
         }
-        let slot = self.reserve(deadline).await?;
+        let mut slot = self.reserve(deadline).await?;
         let limit = deadline.min(Instant::now() + OPEN_TIMEOUT);
         let mut connection =
             Connection::open(self.address, DATA_USER, &self.database, limit).await?;
+        slot.set_work(self.drains.at_member(&self.place));
         connection.slot = Some(slot);
         Ok(Lease::new(Arc::clone(self), connection, permit))
     }
@@ -179,11 +184,24 @@
     /// Takes a connection back; closes it if it is beyond the allowance.
     pub(crate) fn give_back(&self, connection: Connection) {
         let mut state = self.state();
-        if self.open_connections() <= state.allowance {
+        if !state.leaving && self.open_connections() <= state.allowance {
             state.idle.push(connection);
         }
     }
 
+    /// Closes idle connections, and others as they become idle, or keeps them again.
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        let mut state = self.state();
+        state.leaving = leaving;
+        let closed = if leaving {
+            std::mem::take(&mut state.idle)
+        } else {
+            Vec::new()
+        };
+        drop(state);
+        drop(closed);
+    }
+
     /// Number of open connections, busy or idle.
     pub fn open_connections(&self) -> u32 {
         self.open.count()
--- a/crates/daemon/src/pool/open_slot.rs
+++ b/crates/daemon/src/pool/open_slot.rs
@@ -2,20 +2,29 @@
 
 use std::sync::Arc;
 
+use crate::drains::Work;
 use crate::pool::open_count::OpenCount;
 
 /// Counts one open connection until it is dropped, also when opening is abandoned.
 #[derive(Debug)]
-pub(crate) struct OpenSlot(Arc<OpenCount>);
+pub(crate) struct OpenSlot {
+    open: Arc<OpenCount>,
+    work: Option<Work>,
+}
 
 impl OpenSlot {
     pub(crate) fn new(open: Arc<OpenCount>) -> Self {
-        Self(open)
+        Self { open, work: None }
+    }
+
+    /// Counts the connection as work of its member.
+    pub(crate) fn set_work(&mut self, work: Work) {
+        self.work = Some(work);
     }
 }
 
 impl Drop for OpenSlot {
     fn drop(&mut self) {
-        self.0.release();
+        self.open.release();
     }
 }
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -1,11 +1,13 @@
 //! What the administration API reports of this host and its peers.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
 use magnoliahatch_client::admin::FleetStatus;
 use magnoliahatch_client::admin::HostReport;
+use magnoliahatch_client::admin::leaving::Leaving;
 use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
 use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
 use magnoliahatch_core::ids::DatabaseId;
@@ -16,6 +18,7 @@
 use crate::control::Control;
 use crate::front::context::Context;
 use crate::mesh::Mesh;
+use crate::mesh::Reports;
 use crate::peers::fleet::Fleet;
 use crate::switchover::order;
 
@@ -69,6 +72,7 @@
             draining: self.context.is_draining(),
         };
         let reports = self.fleet.reports.borrow();
+        let leaving = self.leaving(&reports);
         let peers = reports.iter().map(|(host, report)| {
             let announcement = &report.announcement;
             let report = HostReport {
@@ -81,10 +85,34 @@
         });
         FleetStatus {
             revision,
+            leaving,
             hosts: peers.chain([(self.fleet.host.clone(), own)]).collect(),
         }
     }
 
+    /// Progress of everything that leaves service, over the live hosts.
+    fn leaving(&self, reports: &Reports) -> BTreeMap<String, Leaving> {
+        let own = self.fleet.drains.remaining(&self.config.view());
+        let live = reports.iter().filter(|(_, report)| Fleet::is_live(report));
+        let peers: Vec<_> = live
+            .map(|(host, report)| (host, &report.announcement.leaving))
+            .chain([(&self.fleet.host, &own)])
+            .collect();
+        let progress = own.keys().map(|subject| {
+            let mut leaving = Leaving::default();
+            for (host, left) in &peers {
+                let left = left.get(subject).copied();
+                leaving.remaining += left.unwrap_or(0);
+                if left != Some(0) {
+                    leaving.waiting.push((*host).clone());
+                }
+            }
+            leaving.done = leaving.waiting.is_empty();
+            (subject.clone(), leaving)
+        });
+        progress.collect()
+    }
+
     /// Counters of the control tasks, one `name value` per line.
     fn metrics(&self) -> String {
         let mut text = String::new();
--- a/crates/daemon/tests/admin_fleet/mod.rs
+++ b/crates/daemon/tests/admin_fleet/mod.rs
@@ -40,6 +40,7 @@
             let status = move || FleetStatus {
                 revision: views.borrow().revision,
                 hosts: Default::default(),
+                leaving: Default::default(),
             };
             let hooks = Hooks {
                 status: Arc::new(status),
