--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::front::cancel::Cancels;
 use crate::front::context::Context;
 use crate::front::listener::Listener;
+use crate::front::retries::Retries;
 use crate::front::tls;
 use crate::front::tls::TlsError;
 use crate::limits::Limits;
@@ -135,12 +136,14 @@
         drains: drains.clone(),
         stop: stopping,
         cancels: Cancels::default(),
+        retries: Retries::new(),
     });
     let report = Report::new(
         fleet.clone(),
         Arc::clone(&context),
         Arc::clone(&config),
         mesh.as_ref().map(|(mesh, _)| mesh.clone()),
+        store.clone(),
     );
     let admin = {
         let (listen, store, views) = (settings.listen.admin, store.clone(), views.clone());
--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -56,15 +56,16 @@
             .map_err(|_| stalled())?
     }
 
-    /// Ends the connection after a last message. What the caller sends meanwhile is read, since
-    /// closing a socket with unread data resets it, and the caller could lose that message.
-    pub(crate) async fn close(&mut self, deadline: Instant) {
+    /// Sends a last message and waits for the caller to close. Closing first would reset the
+    /// connection if a request has arrived meanwhile, and the message could be lost.
+    pub(crate) async fn close(&mut self, last: Frame, deadline: Instant) {
         let closing = async {
-            if self.frames.get_mut().shutdown().await.is_ok() {
-                while let Some(Ok(_)) = self.frames.next().await {}
-            }
+            self.frames.send(last).await?;
+            self.frames.get_mut().shutdown().await?;
+            while self.frames.next().await.is_some_and(|read| read.is_ok()) {}
+            Ok::<(), FrameError>(())
         };
-        // A caller that keeps its side open past the deadline is cut off.
+        // The session is over, whether or not the caller was reached.
         let _ = tokio::time::timeout_at(deadline.into(), closing).await;
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod report;
 pub mod settings;
 pub mod switchover;
+pub mod verb_stats;
 pub mod verbs;
 pub mod wire;
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -10,6 +10,7 @@
 use magnoliahatch_client::admin::leaving::Leaving;
 use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
 use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
+use magnoliahatch_client::store::StoreClient;
 use magnoliahatch_core::ids::DatabaseId;
 
 use crate::admin::hooks::Hooks;
@@ -21,6 +22,7 @@
 use crate::mesh::Reports;
 use crate::peers::fleet::Fleet;
 use crate::switchover::order;
+use crate::verb_stats::VERBS;
 
 /// Age after which a peer's announcement is not taken for its state.
 const REPORT_AGE: Duration = Duration::from_secs(4);
@@ -32,6 +34,7 @@
     context: Arc<Context>,
     config: Arc<ConfigHandle>,
     mesh: Option<Mesh>,
+    store: StoreClient,
 }
 
 impl Report {
@@ -40,12 +43,14 @@
         context: Arc<Context>,
         config: Arc<ConfigHandle>,
         mesh: Option<Mesh>,
+        store: StoreClient,
     ) -> Self {
         Self {
             fleet,
             context,
             config,
             mesh,
+            store,
         }
     }
 
@@ -113,7 +118,7 @@
         progress.collect()
     }
 
-    /// Counters of the control tasks, one `name value` per line.
+    /// Counters of the daemon, one `name value` per line.
     fn metrics(&self) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u128| {
@@ -124,6 +129,9 @@
         if let Some(cpu) = Control::cpu() {
             line("control_cpu_us", cpu.as_micros());
         }
+        if let Some(cpu) = Control::process_cpu() {
+            line("process_cpu_us", cpu.as_micros());
+        }
         if let Some(resident) = Control::resident() {
             line("resident_bytes", resident.into());
         }
@@ -138,6 +146,18 @@
             line("mesh_dropped_frames", stats.dropped.into());
             line("mesh_refused_frames", stats.refused.into());
         }
+        let store = self.store.traffic();
+        line("store_calls", store.calls.into());
+        line("store_sent_bytes", store.sent_bytes.into());
+        line("store_received_bytes", store.received_bytes.into());
+        let verbs = VERBS.snapshot();
+        line("verb_calls", verbs.calls.into());
+        line("verb_connections", verbs.opened.into());
+        line("verb_sent_bytes", verbs.sent_bytes.into());
+        line("verb_received_bytes", verbs.received_bytes.into());
+        line("revision", self.config.view().revision.into());
+        line("sessions", self.context.cancels.len() as u128);
+        line("databases", self.context.directory.all().len() as u128);
         for database in self.context.directory.all() {
             let name = &database.name;
             line(
