--- a/crates/bench/src/load/connection.rs
+++ b/crates/bench/src/load/connection.rs
@@ -114,13 +114,7 @@
             match message {
                 PgWireBackendMessage::DataRow(row) => answer.rows.push(answer::columns(row.data)),
                 PgWireBackendMessage::CommandComplete(complete) => answer.tag = complete.tag,
-                PgWireBackendMessage::ErrorResponse(error) => {
-                    let refused = refused(&error);
-                    if !refused.keeps_connection() {
-                        return Err(refused);
-                    }
-                    failure = Some(refused);
-                }
+                PgWireBackendMessage::ErrorResponse(error) => failure = Some(refused(&error)),
                 PgWireBackendMessage::ReadyForQuery(ready) => {
                     self.idle = ready.status == TransactionStatus::Idle;
                     return failure.map_or(Ok(answer), Err);
@@ -190,6 +184,5 @@
         code: field(b'C'),
         message: field(b'M'),
         detail: field(b'D'),
-        fatal: field(b'S') == "FATAL",
     }
 }
--- a/crates/bench/src/load/failure.rs
+++ b/crates/bench/src/load/failure.rs
@@ -20,8 +20,6 @@
         code: String,
         message: String,
         detail: String,
-        /// The session ended with it.
-        fatal: bool,
     },
 }
 
@@ -72,7 +70,7 @@
 
     /// Whether the connection may be used again.
     pub fn keeps_connection(&self) -> bool {
-        matches!(self, Self::Refused { fatal: false, .. })
+        matches!(self, Self::Refused { .. })
     }
 }
 
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -94,7 +94,6 @@
             code: code.to_owned(),
             message: String::new(),
             detail: detail.to_owned(),
-            fatal: false,
         };
         failure.outcome()
     };
