--- a/crates/bench/src/load/fault_plan.rs
+++ b/crates/bench/src/load/fault_plan.rs
@@ -60,6 +60,19 @@
     Store {
         fault: Fault,
     },
+    /// Orders a planned change of primary.
+    Switchover {
+        database: String,
+    },
+    /// Waits until `GET /status` of the last host reports that nothing is left of a subject.
+    AwaitDrained {
+        subject: String,
+    },
+    /// Counts the statements of callers' connections that a member receives in a time.
+    CountWork {
+        member: String,
+        for_ms: u64,
+    },
     /// Takes a host, endpoint or data centre out of service, or in.
     Placement {
         subject: String,
@@ -68,12 +81,13 @@
 }
 
 impl FaultAction {
-    /// Database whose primary the fault takes away.
+    /// Database whose primary the fault takes away or changes.
     pub fn failed_database(&self) -> Option<&str> {
         match self {
             Self::KillPrimary { database }
             | Self::PausePrimary { database, .. }
-            | Self::CutPrimary { database, .. } => Some(database),
+            | Self::CutPrimary { database, .. }
+            | Self::Switchover { database } => Some(database),
             _ => None,
         }
     }
@@ -84,9 +98,13 @@
 pub struct Injected {
     /// Time since the start of the load.
     pub at: Duration,
+    /// When it was complete.
+    pub ended: Duration,
     pub action: FaultAction,
     /// Process that it hit.
     pub process: Option<String>,
+    /// Statements that were counted.
+    pub statements: Option<usize>,
     /// Why it could not be injected.
     pub error: Option<String>,
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,6 +20,8 @@
 use crate::config::handle::ConfigHandle;
 use crate::control::Control;
 use crate::databases::directory::Directory;
+use crate::drains;
+use crate::drains::Drains;
 use crate::front::cancel::Cancels;
 use crate::front::context::Context;
 use crate::front::listener::Listener;
@@ -41,6 +43,9 @@
 use crate::peers::fleet::Fleet;
 use crate::report::Report;
 use crate::settings::Settings;
+use crate::switchover::duty;
+use crate::switchover::follow;
+use crate::switchover::orders::Orders;
 
 /// Why the daemon cannot start.
 #[derive(Debug, Error)]
@@ -102,6 +107,7 @@
             &announcement,
         )
     })?;
+    let drains = Drains::new(start);
     let fleet = Fleet {
         host: host.clone(),
         incarnation,
@@ -111,6 +117,10 @@
             Some((mesh, _)) => mesh.reports(),
             None => watch::channel(Reports::new()).1,
         },
+        config: views.clone(),
+        region: settings.region.clone(),
+        orders: Orders::default(),
+        drains: drains.clone(),
     };
     let directory = control.enter(|| Directory::spawn(views.clone(), fleet.clone()));
     let (stop, stopping) = watch::channel(false);
@@ -123,12 +133,13 @@
         limits,
         directory: Arc::clone(&directory),
         metrics,
+        drains: drains.clone(),
         stop: stopping,
         cancels: Cancels::default(),
         retries: Retries::new(),
     });
     let report = Report::new(
-        fleet,
+        fleet.clone(),
         Arc::clone(&context),
         Arc::clone(&config),
         mesh.as_ref().map(|(mesh, _)| mesh.clone()),
@@ -141,11 +152,15 @@
     };
     let listener = bind_sql(settings.listen.sql, acceptor, &context).await?;
     let mesh = control.enter(|| {
+        drains::spawn(drains, views.clone());
+        follow::spawn(fleet.clone(), Arc::clone(&directory));
+        duty::spawn(fleet.clone(), Arc::clone(&directory));
         announce::spawn(
             announcement,
             Arc::clone(&config),
             directory,
             Arc::clone(&context),
+            fleet,
         );
         mesh.map(|(mesh, events)| {
             exchange::spawn(Arc::clone(&config), mesh.clone(), events);
--- a/crates/daemon/src/databases/mod.rs
+++ b/crates/daemon/src/databases/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod database;
 pub mod directory;
+pub mod gate;
+mod leaving;
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -99,12 +99,16 @@
         attempt: &Attempt,
     ) -> Result<(), Failure> {
         let position = lease.connection().position;
+        let awaited = position.map(|position| lease.confirmed_as(position));
         let member = lease.pool().member.clone();
         let group = &attempt.database.group;
         if let Some(position) = position {
             group.on_answer(&member, position, sent);
         }
+        // A planned change of primary waits until the answer is confirmed.
+        let mut primary = None;
         if status == Some(TxStatus::Idle) {
+            primary = lease.take_primary_use();
             lease.give_back(TxStatus::Idle);
         } else {
             self.lease = Some(lease);
@@ -119,7 +123,7 @@
             self.skipping = relay.error.is_some();
             return Ok(());
         };
-        let confirmed = match position {
+        let confirmed = match awaited {
             _ if attempt.replica => true,
             Some(position) => {
                 let confirmer = &attempt.database.confirmer;
@@ -142,6 +146,7 @@
             tracing::warn!(event = 215, member, ?position, "answer not confirmed");
             return Err(Refusal::Unconfirmed.into());
         }
+        drop(primary);
         let before = self.seen;
         if let Some(position) = position {
             self.saw(position);
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -194,10 +194,12 @@
         let rows = query(&mut lease, &self.as_owner(&select)).await;
         let rows = rows.map_err(Setback::NotRun)?;
         let position = lease.connection().position;
+        let awaited = position.map(|position| lease.confirmed_as(position));
         lease.give_back(TxStatus::Idle);
         let confirmer = &attempt.database.confirmer;
         let position = position.ok_or(Refusal::Unconfirmed)?;
-        if confirmer.wait(position, attempt.deadline).await != Verdict::Confirmed {
+        let awaited = awaited.unwrap_or(position);
+        if confirmer.wait(awaited, attempt.deadline).await != Verdict::Confirmed {
             return Err(Refusal::Unconfirmed.into());
         }
         self.saw(position);
@@ -229,7 +231,7 @@
         }
         if has_code(&error, UNDEFINED_TABLE) {
             let pool = attempt.database.primary(0, attempt.deadline).await;
-            let pool = pool.ok_or(Refusal::NoPrimary)?;
+            let (pool, _primary) = pool.ok_or(Refusal::NoPrimary)?;
             let organisation = &self.identity.organisation;
             let mut lease = pool.lease(organisation, attempt.deadline).await?;
             let needs = self.needs(&mut lease);
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -10,6 +10,7 @@
 use magnoliahatch_core::session::TxStatus;
 use tokio::sync::watch;
 
+use crate::drains;
 use crate::front::auth::Identity;
 use crate::front::batch;
 use crate::front::batch::Batch;
@@ -75,6 +76,7 @@
     postponed: Option<Refusal>,
     config: watch::Receiver<Arc<magnoliahatch_client::config_view::ConfigView>>,
     stop: watch::Receiver<bool>,
+    _work: drains::Work,
     /// When the session noticed that its host leaves service.
     leaving: Option<Instant>,
 }
@@ -90,6 +92,7 @@
         let (key, cancel) = context.cancels.register();
         let config = context.config.clone();
         let stop = context.stop.clone();
+        let work = context.drains.session(&context.host, &context.data_centre);
         Self {
             context,
             client,
@@ -110,6 +113,7 @@
             postponed: None,
             config,
             stop,
+            _work: work,
             leaving: None,
         }
     }
--- a/crates/daemon/src/pool/lease.rs
+++ b/crates/daemon/src/pool/lease.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use magnoliahatch_core::position::LogPosition;
 use magnoliahatch_core::session::TxStatus;
 
+use crate::databases::gate::PrimaryUse;
 use crate::limits::ConnectionPermit;
 use crate::pool::connection::Connection;
 use crate::pool::member_pool::MemberPool;
@@ -15,6 +17,8 @@
     pool: Arc<MemberPool>,
     connection: Option<Connection>,
     permit: ConnectionPermit,
+    /// Admission to the primary; none at a replica.
+    primary: Option<PrimaryUse>,
 }
 
 impl Lease {
@@ -27,6 +31,7 @@
             pool,
             connection: Some(connection),
             permit,
+            primary: None,
         }
     }
 
@@ -34,6 +39,22 @@
         &self.pool
     }
 
+    /// Keeps the admission to the primary as long as the lease.
+    pub(crate) fn set_primary_use(&mut self, primary: Option<PrimaryUse>) {
+        self.primary = primary;
+    }
+
+    /// Position by which an answer on this connection is confirmed.
+    pub(crate) fn confirmed_as(&self, position: LogPosition) -> LogPosition {
+        let primary = self.primary.as_ref();
+        primary.map_or(position, |primary| primary.confirmed_as(position))
+    }
+
+    /// Takes the admission to the primary, to be kept until the answer is complete.
+    pub(crate) fn take_primary_use(&mut self) -> Option<PrimaryUse> {
+        self.primary.take()
+    }
+
     pub fn connection(&mut self) -> &mut Connection {
         self.connection
             .as_mut()
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -1,11 +1,13 @@
 //! What the administration API reports of this host and its peers.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
 use magnoliahatch_client::admin::FleetStatus;
 use magnoliahatch_client::admin::HostReport;
+use magnoliahatch_client::admin::leaving::Leaving;
 use magnoliahatch_client::admin::switchover_done::SwitchoverDone;
 use magnoliahatch_client::admin::switchover_order::SwitchoverOrder;
 use magnoliahatch_client::store::StoreClient;
@@ -15,16 +17,15 @@
 use crate::admin::hooks::SwitchoverError;
 use crate::config::handle::ConfigHandle;
 use crate::control::Control;
-use crate::election::Command;
 use crate::front::context::Context;
 use crate::mesh::Mesh;
+use crate::mesh::Reports;
 use crate::peers::fleet::Fleet;
+use crate::switchover::order;
 use crate::verb_stats::VERBS;
 
 /// Age after which a peer's announcement is not taken for its state.
 const REPORT_AGE: Duration = Duration::from_secs(4);
-/// Longest time for a planned change of primary.
-const SWITCHOVER_LIMIT: Duration = Duration::from_secs(6);
 
 /// Sources of the reports.
 #[derive(Debug, Clone)]
@@ -76,6 +77,7 @@
             draining: self.context.is_draining(),
         };
         let reports = self.fleet.reports.borrow();
+        let leaving = self.leaving(&reports);
         let peers = reports.iter().map(|(host, report)| {
             let announcement = &report.announcement;
             let report = HostReport {
@@ -88,10 +90,34 @@
         });
         FleetStatus {
             revision,
+            leaving,
             hosts: peers.chain([(self.fleet.host.clone(), own)]).collect(),
         }
     }
 
+    /// Progress of everything that leaves service, over the live hosts.
+    fn leaving(&self, reports: &Reports) -> BTreeMap<String, Leaving> {
+        let own = self.fleet.drains.remaining(&self.config.view());
+        let live = reports.iter().filter(|(_, report)| Fleet::is_live(report));
+        let peers: Vec<_> = live
+            .map(|(host, report)| (host, &report.announcement.leaving))
+            .chain([(&self.fleet.host, &own)])
+            .collect();
+        let progress = own.keys().map(|subject| {
+            let mut leaving = Leaving::default();
+            for (host, left) in &peers {
+                let left = left.get(subject).copied();
+                leaving.remaining += left.unwrap_or(0);
+                if left != Some(0) {
+                    leaving.waiting.push((*host).clone());
+                }
+            }
+            leaving.done = leaving.waiting.is_empty();
+            (subject.clone(), leaving)
+        });
+        progress.collect()
+    }
+
     /// Counters of the daemon, one `name value` per line.
     fn metrics(&self) -> String {
         let mut text = String::new();
@@ -145,27 +171,11 @@
     async fn switchover(
         &self,
         database: DatabaseId,
-        order: SwitchoverOrder,
+        wanted: SwitchoverOrder,
     ) -> Result<SwitchoverDone, SwitchoverError> {
         let Some(group) = self.context.directory.get(&database, &self.config.view()) else {
             return Err(SwitchoverError::NoMajority);
         };
-        let mut elected = group.election.elected.clone();
-        elected.mark_unchanged();
-        let command = Command::Switchover {
-            preferred: order.member,
-        };
-        if group.election.commands.send(command).await.is_err() {
-            return Err(SwitchoverError::TimedOut);
-        }
-        let changed = tokio::time::timeout(SWITCHOVER_LIMIT, elected.changed()).await;
-        let elected = elected.borrow_and_update().clone();
-        match (changed, elected) {
-            (Ok(Ok(())), Some(done)) => Ok(SwitchoverDone {
-                member: done.member,
-                term: done.term,
-            }),
-            _ => Err(SwitchoverError::TimedOut),
-        }
+        order::run(&self.fleet, &group, wanted.member).await
     }
 }
