--- /dev/null
+++ b/crates/daemon/src/front/dispatch.rs
@@ -0,0 +1,133 @@
+//! Answers one request of a caller.
+
+use std::time::Instant;
+
+use magnoliahatch_core::class::Class;
+use magnoliahatch_core::classify;
+use magnoliahatch_core::session::TxStatus;
+
+use crate::front::batch;
+use crate::front::batch::Batch;
+use crate::front::execute::Failure;
+use crate::front::execute::Work;
+use crate::front::message;
+use crate::front::refusal::Refusal;
+use crate::front::session::End;
+use crate::front::session::Session;
+use crate::wire::fields::Fields;
+use crate::wire::frame::Frame;
+use crate::wire::reply;
+use crate::wire::tag;
+
+impl Session {
+    pub(super) async fn on_query(&mut self, frame: Frame) -> Result<(), Failure> {
+        if let Some(refusal) = self.postponed.take() {
+            return Err(refusal.into());
+        }
+        let sql = Fields::of(&frame).text()?;
+        let classes = classify::classify(&sql)?;
+        if self.given_up {
+            if !matches!(classes.as_slice(), [Class::Rollback | Class::Commit]) {
+                return Err(Refusal::Aborted.into());
+            }
+            self.given_up = false;
+            return self.answer(vec![reply::complete("ROLLBACK")], true).await;
+        }
+        if let Some(refusal) = message::unsupported(&classes) {
+            return Err(refusal.into());
+        }
+        if batch::is_own(&classes) {
+            let mut frames = self.interpret(&classes[0])?;
+            if let Class::Show(name) = &classes[0] {
+                let [description, _] = reply::one_row(name, "");
+                frames.insert(0, description);
+            }
+            return self.answer(frames, true).await;
+        }
+        if classes.is_empty() {
+            return self
+                .answer(vec![Frame::new(tag::EMPTY_QUERY, &[])], true)
+                .await;
+        }
+        self.run(&Work::Query { frame, classes }, true).await
+    }
+
+    pub(super) async fn on_batch(&mut self, batch: Batch, to_ready: bool) -> Result<(), Failure> {
+        if let Some(refusal) = self.postponed.take() {
+            return Err(refusal.into());
+        }
+        if self.given_up {
+            let frames = batch.rollback_answers().ok_or(Refusal::Aborted)?;
+            self.given_up = !batch.executes();
+            return self.answer(frames, to_ready).await;
+        }
+        if !self.unsynced
+            && let Some(frames) = batch.local_answers()
+        {
+            return self.answer(frames, to_ready).await;
+        }
+        let names: Vec<String> = batch.prepared_names().map(str::to_owned).collect();
+        let result = self.run(&Work::Batch(batch), to_ready).await;
+        if result.is_err() {
+            // The caller does not know these statements, and may prepare them again.
+            for name in names {
+                self.state.deallocate(Some(&name));
+            }
+        }
+        result
+    }
+
+    /// Sends an answer that needed no endpoint.
+    pub(crate) async fn answer(
+        &mut self,
+        frames: Vec<Frame>,
+        to_ready: bool,
+    ) -> Result<(), Failure> {
+        let deadline = Instant::now() + self.time_limit;
+        let ready = to_ready.then(|| reply::ready(self.status()));
+        for frame in frames.into_iter().chain(ready) {
+            let sent = self.client.feed(frame, deadline).await;
+            sent.map_err(|_| Failure::End(End::Closed))?;
+        }
+        let flushed = self.client.flush(deadline).await;
+        flushed.map_err(|_| Failure::End(End::Closed))
+    }
+
+    /// Reports a refusal; a transaction that it meets is rolled back, as after any error.
+    pub(super) async fn report(
+        &mut self,
+        result: Result<(), Failure>,
+        to_ready: bool,
+    ) -> Result<(), End> {
+        let refusal = match result {
+            Ok(()) => return Ok(()),
+            Err(Failure::End(end)) => return Err(end),
+            Err(Failure::Refused(refusal)) => refusal,
+        };
+        tracing::debug!(event = 205, code = refusal.code(), %refusal, "request refused");
+        let metrics = &self.context.metrics;
+        metrics.refusal(&self.identity.organisation, refusal.code());
+        if self.state.status != TxStatus::Idle || self.lease.is_some() {
+            self.given_up |= self.state.status != TxStatus::Idle;
+            self.abandon().await;
+            self.unsynced = false;
+        }
+        self.skipping = !to_ready;
+        self.batch = Batch::default();
+        match self.answer(vec![refusal.frame(false)], to_ready).await {
+            Ok(()) => Ok(()),
+            Err(Failure::End(end)) => Err(end),
+            Err(Failure::Refused(refusal)) => Err(End::Fatal(refusal)),
+        }
+    }
+
+    /// Sync after an error: also at the endpoint if it still waits for one.
+    pub(super) async fn resynchronise(&mut self) -> Result<(), End> {
+        let result = if self.unsynced {
+            self.run(&Work::Batch(Batch::default()), true).await
+        } else {
+            self.answer(Vec::new(), true).await
+        };
+        self.report(result, true).await
+    }
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod cancel;
 mod client;
 pub mod context;
+mod dispatch;
 mod exchange;
 mod execute;
 pub mod listener;
