--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -24,7 +24,11 @@
     pub fn new(now: Duration) -> Self {
         let mut base = Bucket::empty(now);
         base.resize(Amount::new(BASE_RATE, 1.0), now);
-        Self { base, earned: 0.0 }
+        // Starts full, so that a failure soon after the start is bridged as well.
+        Self {
+            base,
+            earned: SAVED,
+        }
     }
 
     /// Records a first attempt.
