Add the gateway, a protocol-neutral session engine, and its adapter to the users' platform

The engine holds sessions, the connections to members by one home host each, a view of the platform's store with the time at which it was current, shared rates and changes of primary. platform/ holds the line codecs, the settings file, the store's documents and calls.

--- /dev/null
+++ b/crates/gateway/src/duty/mod.rs
@@ -0,0 +1,4 @@
+//! Duties that one host carries out for all.
+
+pub mod promoter;
+pub mod watch_primary;
--- /dev/null
+++ b/crates/gateway/src/duty/promoter.rs
@@ -0,0 +1,291 @@
+//! Replaces the primary of a service.
+//!
+//! The record first says that a change is under way; hosts then use no primary. Once every host
+//! has confirmed, or its view is too old to use one, a member is promoted and recorded.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::MemberId;
+use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::position::LogPosition;
+
+use crate::clock;
+use crate::mesh::call_error::CallError;
+use crate::mesh::frame::Call;
+use crate::model::command::Command;
+use crate::model::kind::Kind;
+use crate::model::object::Content;
+use crate::model::primary_record::PrimaryChange;
+use crate::model::primary_record::PrimaryRecord;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::platform::PromotionOrder;
+use crate::platform::Store;
+use crate::promote_error::PromoteError;
+use crate::store_error::StoreError;
+
+/// Limit of one question to a host to stop using the primary; it includes the time that
+/// statements in flight have to end.
+const QUIESCE_LIMIT: Duration = Duration::from_millis(600);
+/// Time in which the chosen member may receive what a leaving primary still holds.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
+/// Pause between two questions to a member.
+const POLL_PAUSE: Duration = Duration::from_millis(30);
+/// Pause before a failed call is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which a promotion that was accepted takes effect; promotions take some hundred ms.
+const EFFECT_LIMIT: Duration = Duration::from_secs(3);
+/// A holder gives up after this, well before a successor may take over.
+const HOLD_LIMIT: Duration = Duration::from_secs(6);
+
+/// Carries out a change from the record that was seen. `takeover` continues another holder's.
+pub async fn replace<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &str,
+    record: PrimaryRecord,
+    revision: Revision,
+    takeover: bool,
+) {
+    let started = clock::now();
+    let candidate = record.change.as_ref().and_then(|c| c.candidate.clone());
+    let mut change = Change {
+        node,
+        service,
+        record,
+        revision,
+        until: started + HOLD_LIMIT + node.settings.bounds.primary_view,
+    };
+    let result = change.run(candidate, takeover).await;
+    let took = clock::now().saturating_sub(started).as_millis() as u64;
+    let primary = &change.record.primary;
+    match result {
+        Ok(()) => tracing::info!(event = 654, service, primary, took, "primary replaced"),
+        Err(error) => tracing::warn!(event = 655, service, %error, took, "primary not replaced"),
+    }
+}
+
+/// Why a change of primary ended without success.
+#[derive(Debug, thiserror::Error)]
+enum ChangeError {
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    #[error("no member can be promoted")]
+    NoCandidate,
+    #[error("the promotion did not take effect in time")]
+    NoEffect,
+}
+
+struct Change<'a, P: Platform> {
+    node: &'a Rc<Node<P>>,
+    service: &'a str,
+    record: PrimaryRecord,
+    revision: Revision,
+    until: Duration,
+}
+
+impl<P: Platform> Change<'_, P> {
+    async fn run(&mut self, known: Option<MemberId>, takeover: bool) -> Result<(), ChangeError> {
+        let old = self.record.primary.clone();
+        self.write(known.clone(), true).await?;
+        let written = clock::now();
+        self.stop_use(written).await;
+        if takeover {
+            // The previous holder may still be about to send its order.
+            let wait =
+                (written + self.node.settings.bounds.primary_view).saturating_sub(clock::now());
+            tokio::time::sleep(wait).await;
+        }
+        let candidate = match known {
+            Some(member) => member,
+            None => match self.candidate(&old).await {
+                Some(member) => member,
+                None => {
+                    self.restore(&old).await?;
+                    return Err(ChangeError::NoCandidate);
+                }
+            },
+        };
+        self.write(Some(candidate.clone()), true).await?;
+        if !self.promote(&candidate).await? {
+            // Nothing was ordered: the member is not running.
+            self.restore(&old).await?;
+            return Err(ChangeError::NoCandidate);
+        }
+        let term = self.effect(&candidate).await?;
+        let demoted = self.node.control(&old, Command::Demote(term)).await;
+        let reached = demoted.is_some();
+        tracing::info!(
+            event = 656,
+            service = self.service,
+            old,
+            reached,
+            "old primary demoted"
+        );
+        self.record.primary = candidate;
+        self.write(None, false).await?;
+        Ok(())
+    }
+
+    /// Writes the record; repeats until the store answers or another writer was faster.
+    async fn write(
+        &mut self,
+        candidate: Option<MemberId>,
+        changing: bool,
+    ) -> Result<(), ChangeError> {
+        let change = changing.then(|| PrimaryChange {
+            holder: self.node.settings.host.clone(),
+            candidate: candidate.clone(),
+        });
+        self.record.change = change;
+        let content = Content::Primary(self.record.clone());
+        loop {
+            let store = &self.node.store;
+            let written = store
+                .put(Kind::Primaries, self.service, Some(self.revision), &content)
+                .await;
+            let error = match written {
+                Ok(object) => {
+                    self.written(object);
+                    return Ok(());
+                }
+                // An earlier attempt of this write may have taken effect without an answer.
+                Err(StoreError::Conflict(Some(object)))
+                    if object.content.as_ref() == Some(&content) =>
+                {
+                    self.written(*object);
+                    return Ok(());
+                }
+                Err(StoreError::Conflict(object)) => {
+                    return Err(StoreError::Conflict(object).into());
+                }
+                Err(error) => error,
+            };
+            if clock::now() >= self.until {
+                return Err(error.into());
+            }
+            tracing::debug!(event = 657, service = self.service, %error, "record written again");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn written(&mut self, object: crate::model::object::Object) {
+        self.revision = object.revision;
+        let mut view = self.node.view.borrow_mut();
+        view.on_written(Kind::Primaries, object, clock::now());
+        drop(view);
+        self.node.on_view_changed();
+    }
+
+    async fn restore(&mut self, old: &str) -> Result<(), ChangeError> {
+        self.record.primary = old.to_owned();
+        self.write(None, false).await
+    }
+
+    /// Ends when no host uses the primary: each has confirmed or ended, or its view has become
+    /// too old.
+    async fn stop_use(&self, written: Duration) {
+        let hosts: Vec<HostId> = {
+            let view = self.node.view.borrow();
+            let own = &self.node.settings.host;
+            let others = view.hosts().into_iter().map(|(id, _)| id.clone());
+            others.filter(|id| id != own).collect()
+        };
+        let remote = futures::future::join_all(hosts.iter().map(|h| self.ask(h, written)));
+        let local = self.node.quiesce(self.service, self.revision);
+        futures::join!(remote, local);
+    }
+
+    async fn ask(&self, host: &str, written: Duration) {
+        let lapse = written + self.node.settings.bounds.primary_view;
+        while clock::now() < lapse {
+            let call = Call::Quiesce {
+                service: self.service.to_owned(),
+                revision: self.revision,
+            };
+            match self.node.mesh.call(host, call, QUIESCE_LIMIT).await {
+                Ok(_) | Err(CallError::Ended) => return,
+                Err(error) => {
+                    tracing::debug!(event = 658, host, %error, "host has not confirmed");
+                }
+            }
+            let left = lapse.saturating_sub(clock::now());
+            tokio::time::sleep(RETRY_PAUSE.min(left)).await;
+        }
+    }
+
+    /// The member that has received most. A leaving primary's last writes are waited for.
+    async fn candidate(&self, old: &str) -> Option<MemberId> {
+        let goal = self.node.status(old).await.map(|s| s.received);
+        let until = clock::now() + CATCH_UP_LIMIT;
+        loop {
+            let members: Vec<MemberId> = {
+                let view = self.node.view.borrow();
+                let members = view.members(self.service, clock::now());
+                members
+                    .into_iter()
+                    .filter(|(id, m)| {
+                        *id != old
+                            && !m.draining
+                            && view.registered(id).is_some()
+                            && !view.evacuated(&m.data_centre)
+                    })
+                    .map(|(id, _)| id.clone())
+                    .collect()
+            };
+            let asked = members.iter().map(|m| self.node.status(m));
+            let answers = futures::future::join_all(asked).await;
+            let best: Option<(LogPosition, MemberId)> = answers
+                .into_iter()
+                .zip(members)
+                .filter_map(|(status, member)| Some((status?.received, member)))
+                .max();
+            let reached = best
+                .as_ref()
+                .is_some_and(|(p, _)| goal.is_none_or(|g| *p >= g));
+            if reached || clock::now() >= until {
+                return best.map(|(_, member)| member);
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Orders the promotion. False if the member is certainly not promoted.
+    async fn promote(&self, candidate: &str) -> Result<bool, ChangeError> {
+        let order = PromotionOrder {
+            service: self.service.to_owned(),
+            member: candidate.to_owned(),
+            holder: self.node.settings.host.clone(),
+            fencing_token: self.revision,
+        };
+        let mut unanswered = false;
+        while clock::now() < self.until {
+            match self.node.store.promote(&order).await {
+                Ok(()) => return Ok(true),
+                Err(PromoteError::Conflict) if !unanswered => return Ok(false),
+                Err(error) => {
+                    unanswered |= matches!(error, PromoteError::NoAnswer(_));
+                    let service = self.service;
+                    tracing::warn!(event = 659, service, %error, "promotion ordered again");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        Err(ChangeError::NoEffect)
+    }
+
+    /// Waits until the candidate leads and returns its term.
+    async fn effect(&self, candidate: &str) -> Result<u64, ChangeError> {
+        let until = clock::now() + EFFECT_LIMIT;
+        while clock::now() < until {
+            if let Some(status) = self.node.status(candidate).await
+                && status.primary
+            {
+                return Ok(status.received.term);
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+        Err(ChangeError::NoEffect)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/mod.rs
@@ -0,0 +1,8 @@
+//! Sessions of clients.
+
+pub mod dispatch;
+pub mod listener;
+pub mod member_loads;
+pub mod remote;
+pub mod session;
+pub mod transaction;
--- /dev/null
+++ b/crates/gateway/src/front/remote.rs
@@ -0,0 +1,82 @@
+//! Channels on another host's connections.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliahatch_core::ids::HostId;
+
+use crate::member::channel::ChannelHandle;
+use crate::mesh::call_error::CallError;
+use crate::mesh::frame::Call;
+use crate::mesh::frame::Return;
+use crate::model::error_code::ErrorCode;
+use crate::model::job::Job;
+use crate::model::job::Target;
+use crate::model::job::Work;
+use crate::model::outcome::Cause;
+use crate::model::outcome::Outcome;
+use crate::model::outcome::failure;
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Added to a job's limit for the way to the other host and back.
+const WAY_SLACK: Duration = Duration::from_millis(100);
+
+/// Opens a channel at another host.
+pub fn spawn<P: Platform>(node: Rc<Node<P>>, host: HostId, target: Target) -> ChannelHandle {
+    let (handle, mut jobs) = ChannelHandle::pair();
+    tokio::task::spawn_local(async move {
+        let channel = node.mesh.number();
+        let transaction = target.transaction.is_some();
+        let mut opening = Some(target);
+        let mut sent = false;
+        while let Some((job, reply)) = jobs.recv().await {
+            let target = opening.take();
+            let durable = durable(&job, transaction);
+            let limit = job.timeout + WAY_SLACK;
+            let call = Call::Run {
+                channel,
+                target,
+                job,
+            };
+            let answer = node.mesh.call(&host, call, limit).await;
+            sent |= !matches!(answer, Err(CallError::Unreachable | CallError::Ended));
+            let outcome = outcome(answer, durable);
+            let failed = outcome.is_err();
+            // A caller that has gone closes the queue.
+            let _ = reply.send(outcome);
+            if failed {
+                break;
+            }
+        }
+        if sent
+            && node
+                .mesh
+                .notify(&host, Call::End { channel })
+                .await
+                .is_err()
+        {
+            tracing::debug!(
+                event = 642,
+                host,
+                "a channel's end was not sent: host not reached"
+            );
+        }
+    });
+    handle
+}
+
+fn durable(job: &Job, transaction: bool) -> bool {
+    matches!(job.work, Work::Commit) || (!transaction && job.work.writes())
+}
+
+fn outcome(answer: Result<Return, CallError>, durable: bool) -> Outcome {
+    match answer {
+        Ok(Return::Outcome(outcome)) => outcome,
+        Err(CallError::Unreachable | CallError::Ended) => {
+            Err(failure(ErrorCode::Busy, Cause::Peer))
+        }
+        Ok(_) | Err(CallError::Lost) if durable => Err(failure(ErrorCode::Unknown, Cause::Peer)),
+        Ok(_) | Err(CallError::Lost) => Err(failure(ErrorCode::Aborted, Cause::Peer)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,132 @@
+//! Starts and stops the tasks of one host.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+
+use crate::clock;
+use crate::duty::watch_primary;
+use crate::front::listener;
+use crate::mesh::server;
+use crate::metrics::Registry;
+use crate::model::kind::Kind;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::platform::Store;
+use crate::settings::Settings;
+use crate::start_error::StartError;
+use crate::view::follower;
+
+/// Interval at which the readiness flag is renewed.
+const READY_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of the grace that open transactions have after a stop signal; the rest is for the end of
+/// what other hosts run here.
+const SESSION_PART: f64 = 0.5;
+/// Part of the grace after which the process ends in any case.
+const STOP_PART: f64 = 0.75;
+/// Interval at which a stop looks for remaining sessions.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// Time that the balancer needs to notice that this host is not ready.
+const NOTICE_TIME: Duration = Duration::from_millis(2200);
+
+/// A running gateway.
+pub struct Gateway<P: Platform> {
+    node: Rc<Node<P>>,
+    ready: Arc<AtomicBool>,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Binds the sockets and starts all tasks on the current `LocalSet`.
+    pub async fn bind(settings: Settings, store: P::Store) -> Result<Self, StartError> {
+        let clients = listen(settings.listen).await?;
+        let hosts = listen(settings.mesh).await?;
+        let node = Node::<P>::new(settings, store);
+        let ready = Arc::new(AtomicBool::new(false));
+        for kind in Kind::ALL {
+            tokio::task::spawn_local(follower::follow(node.clone(), kind));
+        }
+        tokio::task::spawn_local(follower::register(node.clone()));
+        tokio::task::spawn_local(follower::ask_peers(node.clone()));
+        tokio::task::spawn_local(server::serve(node.clone(), hosts));
+        tokio::task::spawn_local(listener::serve(node.clone(), clients));
+        tokio::task::spawn_local(watch_primary::run(node.clone()));
+        tokio::task::spawn_local(renew_ready(node.clone(), ready.clone()));
+        Ok(Self { node, ready })
+    }
+
+    /// Whether the host takes new client connections; renewed while the gateway runs.
+    pub fn ready(&self) -> Arc<AtomicBool> {
+        self.ready.clone()
+    }
+
+    pub fn metrics(&self) -> Arc<Registry> {
+        self.node.metrics.registry()
+    }
+
+    /// Takes no new clients, lets transactions end, and gives the registration back.
+    pub async fn stop(self) {
+        let started = clock::now();
+        let grace = self.node.settings.bounds.grace;
+        self.node.stopping.send_replace(true);
+        self.ready.store(false, Ordering::Relaxed);
+        self.node.on_view_changed();
+        let sessions = started + grace.mul_f64(SESSION_PART);
+        while clock::now() < sessions {
+            let noticed = clock::now().saturating_sub(started) >= NOTICE_TIME;
+            if noticed && self.node.sessions.get() == 0 {
+                break;
+            }
+            tokio::time::sleep(STOP_INTERVAL).await;
+        }
+        let end = started + grace.mul_f64(STOP_PART);
+        while clock::now() < end && self.node.channels.get() > 0 {
+            tokio::time::sleep(STOP_INTERVAL).await;
+        }
+        self.unregister().await;
+        let left = (self.node.sessions.get(), self.node.channels.get());
+        tracing::info!(event = 609, sessions = left.0, channels = left.1, "stopped");
+    }
+
+    async fn unregister(&self) {
+        let host = &self.node.settings.host;
+        let revision = {
+            let view = self.node.view.borrow();
+            let hosts = view.kind(Kind::Hosts);
+            hosts.and_then(|k| k.objects.get(host)).map(|o| o.revision)
+        };
+        let Some(revision) = revision else { return };
+        let limit = Duration::from_millis(300);
+        let removal = self.node.store.remove(Kind::Hosts, host, revision);
+        match tokio::time::timeout(limit, removal).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::warn!(event = 608, %error, "host not unregistered"),
+            Err(_) => tracing::warn!(event = 608, "host not unregistered in time"),
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen { address, source })
+}
+
+async fn renew_ready<P: Platform>(node: Rc<Node<P>>, ready: Arc<AtomicBool>) {
+    let mut filled = !node.settings.first_start;
+    loop {
+        if !filled && node.configuration().is_some() {
+            node.quota.fill(&node);
+            filled = true;
+        }
+        let value = node.is_ready();
+        if ready.swap(value, Ordering::Relaxed) != value {
+            tracing::info!(event = 600, ready = value, "readiness changed");
+        }
+        tokio::time::sleep(READY_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! Protocol-neutral session engine: sessions, member connections, and what hosts agree on through
+//! the platform's store.
+
+pub mod clock;
+pub mod duty;
+pub mod front;
+pub mod gateway;
+pub mod logs;
+pub mod member;
+pub mod mesh;
+pub mod metrics;
+pub mod model;
+pub mod node;
+pub mod platform;
+pub mod policy;
+pub mod primary_use;
+pub mod promote_error;
+pub mod quota_keeper;
+pub mod settings;
+pub mod socket;
+pub mod start_error;
+pub mod store_error;
+pub mod view;
+pub mod wire_error;
--- /dev/null
+++ b/crates/gateway/src/member/mod.rs
@@ -0,0 +1,9 @@
+//! Connections to the members of services.
+
+pub mod channel;
+pub mod connection;
+pub mod connection_error;
+pub mod lease;
+pub mod pool;
+pub mod pool_table;
+pub mod slot;
--- /dev/null
+++ b/crates/gateway/src/mesh/frame.rs
@@ -0,0 +1,98 @@
+//! Messages between hosts.
+
+use std::time::Duration;
+
+use magnoliahatch_core::ids::Incarnation;
+use magnoliahatch_core::ids::OrganisationId;
+use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::position::LogPosition;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::model::job::Job;
+use crate::model::job::Target;
+use crate::model::kind::Kind;
+use crate::model::object::Listing;
+use crate::model::outcome::Outcome;
+
+/// Number of a call on its connection.
+pub type CallId = u64;
+/// Number of a channel on its connection.
+pub type ChannelId = u64;
+
+/// Version of these messages; a host of another version is refused.
+pub const FORMAT: u32 = 1;
+
+/// First message of a connection, in both directions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    pub format: u32,
+    pub incarnation: Incarnation,
+}
+
+/// A message of the host that opened the connection.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Call {
+    Ping,
+    /// Runs a statement; `target` opens the channel with its first job.
+    Run {
+        channel: ChannelId,
+        target: Option<Target>,
+        job: Job,
+    },
+    /// Ends a channel; an open transaction is rolled back. Has no answer.
+    End {
+        channel: ChannelId,
+    },
+    /// Takes tokens of an organisation's rate.
+    Tokens {
+        organisation: OrganisationId,
+        count: u32,
+    },
+    /// Asks for a recent position of a service's primary.
+    Floor {
+        service: String,
+    },
+    /// Asks for the store's content, where it differs from these revisions, and for its age.
+    View {
+        known: Vec<(Kind, Revision)>,
+    },
+    /// Asks to stop using a service's primary, whose record has this revision.
+    Quiesce {
+        service: String,
+        revision: Revision,
+    },
+    /// Asks whether the primary of a service answers this host.
+    Reach {
+        service: String,
+    },
+}
+
+/// What a host knows of one kind.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KindReport {
+    pub kind: Kind,
+    pub revision: Revision,
+    /// Age of the content, counted at the sender.
+    pub age: Duration,
+    /// Content, if the asker has another revision.
+    pub listing: Option<Listing>,
+}
+
+/// Answer to a call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Return {
+    Done,
+    Outcome(Outcome),
+    Tokens(u32),
+    Floor(Option<(Duration, LogPosition)>),
+    View(Vec<KindReport>),
+    Reach(bool),
+}
+
+/// A call or an answer with its number.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Numbered<T> {
+    pub id: CallId,
+    pub body: T,
+}
--- /dev/null
+++ b/crates/gateway/src/mesh/server.rs
@@ -0,0 +1,146 @@
+//! Answers the calls of other hosts.
+
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use crate::member::channel;
+use crate::member::channel::ChannelHandle;
+use crate::mesh::frame::Call;
+use crate::mesh::frame::ChannelId;
+use crate::mesh::frame::FORMAT;
+use crate::mesh::frame::Hello;
+use crate::mesh::frame::Numbered;
+use crate::mesh::frame::Return;
+use crate::mesh::link;
+use crate::model::error_code::ErrorCode;
+use crate::model::outcome::Cause;
+use crate::model::outcome::failure;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::socket;
+use crate::wire_error::WireError;
+
+/// Answers waiting to be written; more means that the peer does not read.
+const QUEUE_LENGTH: usize = 2048;
+
+/// Accepts connections of other hosts until the process ends.
+pub async fn serve<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = node.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = connection(node, stream).await {
+                        tracing::debug!(event = 613, %error, "connection of a host failed");
+                    }
+                });
+            }
+            Err(error) => accept_failed(&error).await,
+        }
+    }
+}
+
+async fn accept_failed(error: &io::Error) {
+    tracing::warn!(event = 614, %error, "a connection could not be accepted");
+    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+}
+
+async fn connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) -> Result<(), WireError> {
+    socket::prepare(&stream)?;
+    let (mut reader, mut writer) = link::open(stream);
+    let Some(hello) = reader.next::<Hello>().await? else {
+        return Ok(());
+    };
+    if hello.format != FORMAT {
+        return Err(WireError::Malformed("another version of the mesh format"));
+    }
+    let own = Hello {
+        format: FORMAT,
+        incarnation: node.incarnation,
+    };
+    writer.send(&own).await?;
+    let (answers, mut outgoing) = mpsc::channel(QUEUE_LENGTH);
+    let receive = async move {
+        let mut channels: HashMap<ChannelId, ChannelHandle> = HashMap::new();
+        while let Some(call) = reader.next::<Numbered<Call>>().await? {
+            on_call(&node, &mut channels, call, &answers);
+        }
+        Ok::<(), WireError>(())
+    };
+    tokio::select! {
+        result = receive => result,
+        result = writer.send_all(&mut outgoing) => result,
+    }
+}
+
+fn on_call<P: Platform>(
+    node: &Rc<Node<P>>,
+    channels: &mut HashMap<ChannelId, ChannelHandle>,
+    call: Numbered<Call>,
+    answers: &mpsc::Sender<Numbered<Return>>,
+) {
+    let id = call.id;
+    match call.body {
+        Call::Ping => answer(answers, id, Return::Done),
+        Call::End { channel } => {
+            channels.remove(&channel);
+        }
+        Call::Run {
+            channel,
+            target,
+            job,
+        } => {
+            if let Some(target) = target {
+                channels.insert(channel, channel::spawn(node.clone(), target));
+            }
+            let sent = channels.get(&channel).map(|c| c.send(job));
+            let answers = answers.clone();
+            tokio::task::spawn_local(async move {
+                let outcome = match sent {
+                    Some(receiver) => channel::outcome(receiver).await,
+                    None => Err(failure(ErrorCode::Aborted, Cause::Idle)),
+                };
+                answer(&answers, id, Return::Outcome(outcome));
+            });
+        }
+        body => {
+            let node = node.clone();
+            let answers = answers.clone();
+            tokio::task::spawn_local(async move {
+                let body = slow_call(&node, body).await;
+                answer(&answers, id, body);
+            });
+        }
+    }
+}
+
+async fn slow_call<P: Platform>(node: &Rc<Node<P>>, call: Call) -> Return {
+    match call {
+        Call::Tokens {
+            organisation,
+            count,
+        } => Return::Tokens(node.quota.grant(node, &organisation, count)),
+        Call::Floor { service } => Return::Floor(node.observe_primary(&service).await),
+        Call::View { known } => Return::View(node.view_report(&known)),
+        Call::Quiesce { service, revision } => {
+            node.quiesce(&service, revision).await;
+            Return::Done
+        }
+        Call::Reach { service } => Return::Reach(node.reaches_primary(&service).await),
+        Call::Ping | Call::Run { .. } | Call::End { .. } => Return::Done,
+    }
+}
+
+fn answer(answers: &mpsc::Sender<Numbered<Return>>, id: u64, body: Return) {
+    if answers.try_send(Numbered { id, body }).is_err() {
+        tracing::debug!(
+            event = 615,
+            "an answer to a host was dropped: connection gone or full"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/model/error_code.rs
@@ -0,0 +1,53 @@
+//! Error codes of a statement, independent of their spelling on a wire.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a statement or a session failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum ErrorCode {
+    /// Not run: no capacity now.
+    Busy,
+    /// Not run: the transaction was rolled back before its commit was sent.
+    Aborted,
+    /// Not run: the member's log lacks the required position.
+    Lagging,
+    /// Not run: the member is not the primary.
+    ReadOnly,
+    /// Not run: another member answered at this address.
+    Misrouted,
+    /// Not run: the member has no connection left.
+    ConnectionLimit,
+    /// Not run: the member does not know the prepared statement.
+    NoStatement,
+    /// Ran, and failed.
+    Failed,
+    /// Ran into a time limit; whether it took effect is unknown.
+    Timeout,
+    /// Whether it took effect is unknown.
+    Unknown,
+    /// The key belongs to no organisation.
+    Unauthorized,
+    /// No route has this name.
+    NoDatabase,
+    /// The message exceeds the size limit.
+    TooLarge,
+    /// The message is not valid in this state.
+    Malformed,
+}
+
+impl ErrorCode {
+    /// Whether the code promises that the statement did not run.
+    pub fn not_run(self) -> bool {
+        matches!(
+            self,
+            Self::Busy
+                | Self::Aborted
+                | Self::Lagging
+                | Self::ReadOnly
+                | Self::Misrouted
+                | Self::ConnectionLimit
+                | Self::NoStatement
+        )
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/model/kind.rs
@@ -0,0 +1,24 @@
+//! Kinds of objects in the platform's store.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A kind of object that every host follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    Configuration,
+    Members,
+    Evacuations,
+    Hosts,
+    Primaries,
+}
+
+impl Kind {
+    pub const ALL: [Self; 5] = [
+        Self::Configuration,
+        Self::Members,
+        Self::Evacuations,
+        Self::Hosts,
+        Self::Primaries,
+    ];
+}
--- /dev/null
+++ b/crates/gateway/src/model/member_status.rs
@@ -0,0 +1,16 @@
+//! A member's answer about itself.
+
+use std::time::Duration;
+
+use magnoliahatch_core::position::LogPosition;
+
+/// Role, position and load of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberStatus {
+    pub primary: bool,
+    /// End of the log it has received.
+    pub received: LogPosition,
+    pub lag: Duration,
+    pub busy: u32,
+    pub connections: u32,
+}
--- /dev/null
+++ b/crates/gateway/src/model/mod.rs
@@ -0,0 +1,18 @@
+//! Types that the engine shares with its adapters.
+
+pub mod command;
+pub mod configuration;
+pub mod error_code;
+pub mod host_entry;
+pub mod job;
+pub mod kind;
+pub mod member_entry;
+pub mod member_status;
+pub mod object;
+pub mod outcome;
+pub mod primary_record;
+pub mod reply;
+pub mod request;
+pub mod route;
+pub mod statement;
+pub mod transaction_state;
--- /dev/null
+++ b/crates/gateway/src/model/statement.rs
@@ -0,0 +1,42 @@
+//! Statements of a client, parsed once by the codec.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a prepared statement reads or writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Access {
+    Read,
+    Write,
+}
+
+/// One statement. Texts that are forwarded stay as they came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Statement {
+    Begin {
+        read_only: bool,
+    },
+    Commit,
+    Rollback,
+    /// The whole text of a read.
+    Read(Bytes),
+    /// The whole text of a write.
+    Write(Bytes),
+    Set {
+        name: Bytes,
+        value: Bytes,
+    },
+    Prepare {
+        name: Bytes,
+        access: Access,
+        shape: Bytes,
+    },
+    Execute {
+        name: Bytes,
+        arguments: Bytes,
+    },
+    Deallocate {
+        name: Bytes,
+    },
+}
--- /dev/null
+++ b/crates/gateway/src/policy/mod.rs
@@ -0,0 +1,10 @@
+//! Decisions without I/O, clock or randomness of their own.
+
+pub mod admission;
+pub mod bounds;
+pub mod connection_plan;
+pub mod homes;
+pub mod quota;
+pub mod read_floor;
+pub mod replica_choice;
+pub mod succession;
--- /dev/null
+++ b/crates/gateway/src/promote_error.rs
@@ -0,0 +1,15 @@
+//! Failures of the promotion call.
+
+use thiserror::Error;
+
+/// Why a promotion was not accepted.
+#[derive(Debug, Error)]
+pub enum PromoteError {
+    #[error("no answer to the promotion call: {0}")]
+    NoAnswer(String),
+    /// The named member is not running, or the call conflicts with another.
+    #[error("the promotion was refused as a conflict")]
+    Conflict,
+    #[error("the promotion was refused with status {0}")]
+    Refused(u16),
+}
--- /dev/null
+++ b/crates/gateway/src/quota_keeper.rs
@@ -0,0 +1,111 @@
+//! Takes tokens for operations from the host that shares out an organisation's rate.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use magnoliahatch_core::ids::OrganisationId;
+use magnoliahatch_core::rendezvous;
+
+use crate::clock;
+use crate::mesh::frame::Call;
+use crate::mesh::frame::Return;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::policy::quota::QuotaTable;
+
+/// Tokens asked for at once; the rest serves the next operations without a call.
+const BATCH: u32 = 2;
+/// Unused tokens are dropped after this, so that they are not used far from the window in which
+/// they were granted.
+const TOKEN_LIFE: Duration = Duration::from_millis(500);
+/// Limit of a call for tokens; far above the longest way between regions.
+const CALL_LIMIT: Duration = Duration::from_millis(250);
+
+/// Tokens of all organisations.
+#[derive(Debug, Default)]
+pub struct QuotaKeeper {
+    table: RefCell<QuotaTable>,
+    held: RefCell<BTreeMap<OrganisationId, (u32, Duration)>>,
+}
+
+impl QuotaKeeper {
+    /// Fills the buckets at the first start of the whole system.
+    pub fn fill<P: Platform>(&self, node: &Node<P>) {
+        let Some(configuration) = node.configuration() else {
+            return;
+        };
+        let mut table = self.table.borrow_mut();
+        for (organisation, rate) in &configuration.rates {
+            table.fill(organisation, *rate, clock::now());
+        }
+    }
+
+    /// Grants tokens to another host. The part of hosts that this one cannot reach is left to
+    /// them.
+    pub fn grant<P: Platform>(&self, node: &Node<P>, organisation: &str, count: u32) -> u32 {
+        let (reached, all) = node.host_counts();
+        let share = f64::from(reached) / f64::from(all.max(1));
+        self.take_local(node, organisation, share, count)
+    }
+
+    /// Takes one token for an operation.
+    pub async fn take<P: Platform>(&self, node: &Rc<Node<P>>, organisation: &str) -> bool {
+        if self.take_held(organisation) {
+            return true;
+        }
+        let hosts = node.live_hosts();
+        let owner = rendezvous::owner(organisation, hosts.iter().map(String::as_str));
+        let granted = match owner {
+            Some(owner) if owner != node.settings.host => {
+                let call = Call::Tokens {
+                    organisation: organisation.to_owned(),
+                    count: BATCH,
+                };
+                match node.mesh.call(owner, call, CALL_LIMIT).await {
+                    Ok(Return::Tokens(granted)) => granted,
+                    answer => {
+                        tracing::debug!(event = 640, owner, ?answer, "rate owner did not answer");
+                        let (_, all) = node.host_counts();
+                        self.take_local(node, organisation, 1.0 / f64::from(all.max(1)), 1)
+                    }
+                }
+            }
+            _ => self.grant(node, organisation, 1),
+        };
+        if granted > 1 {
+            let entry = (granted - 1, clock::now());
+            self.held
+                .borrow_mut()
+                .insert(organisation.to_owned(), entry);
+        }
+        granted > 0
+    }
+
+    fn take_held(&self, organisation: &str) -> bool {
+        let mut held = self.held.borrow_mut();
+        let Some((count, at)) = held.get_mut(organisation) else {
+            return false;
+        };
+        if *count == 0 || clock::now().saturating_sub(*at) > TOKEN_LIFE {
+            return false;
+        }
+        *count -= 1;
+        true
+    }
+
+    fn take_local<P: Platform>(
+        &self,
+        node: &Node<P>,
+        organisation: &str,
+        share: f64,
+        count: u32,
+    ) -> u32 {
+        let configuration = node.configuration();
+        let rate = configuration.and_then(|c| c.rates.get(organisation).copied());
+        let Some(rate) = rate else { return 0 };
+        let mut table = self.table.borrow_mut();
+        table.take(organisation, rate, share, count, clock::now())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,38 @@
+//! Settings of a gateway, filled in by an adapter.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use magnoliahatch_core::ids::DataCentreId;
+use magnoliahatch_core::ids::HostId;
+
+use crate::policy::bounds::Bounds;
+
+/// What one gateway process needs to know.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub host: HostId,
+    pub data_centre: DataCentreId,
+    /// Region of each data centre.
+    pub regions: BTreeMap<DataCentreId, String>,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether this host takes new connections.
+    pub readiness: SocketAddr,
+    /// Where other hosts connect.
+    pub mesh: SocketAddr,
+    /// Where counters and histograms are served.
+    pub metrics: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Region of a data centre; its own name if none is given.
+    pub fn region<'a>(&'a self, data_centre: &'a str) -> &'a str {
+        self.regions
+            .get(data_centre)
+            .map_or(data_centre, String::as_str)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/view/mod.rs
@@ -0,0 +1,5 @@
+//! This host's copy of the store, with the time at which it was current.
+
+pub mod follower;
+pub mod kind_view;
+pub mod view_state;
