--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -195,6 +195,12 @@
         let remote = futures::future::join_all(hosts.iter().map(|h| self.ask(h, written)));
         let local = self.node.quiesce(self.service, self.revision);
         futures::join!(remote, local);
+        // A host whose registration was removed a moment ago may still use an older view.
+        let departed = self.node.view.borrow().departed();
+        if let Some(departed) = departed {
+            let lapse = departed + self.node.settings.bounds.primary_view;
+            tokio::time::sleep(lapse.saturating_sub(clock::now())).await;
+        }
     }
 
     async fn ask(&self, host: &str, written: Duration) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::settings::Settings;
 use crate::start_error::StartError;
 use crate::view::follower;
+use crate::view::registry;
 
 /// Interval at which the readiness flag is renewed.
 const READY_INTERVAL: Duration = Duration::from_millis(50);
@@ -51,7 +52,9 @@
             tokio::task::spawn_local(follower::follow(node.clone(), kind));
         }
         tokio::task::spawn_local(follower::register(node.clone()));
+        tokio::task::spawn_local(follower::ask_readers(node.clone()));
         tokio::task::spawn_local(follower::ask_peers(node.clone()));
+        tokio::task::spawn_local(registry::run(node.clone()));
         tokio::task::spawn_local(server::serve(node.clone(), hosts));
         tokio::task::spawn_local(listener::serve(node.clone(), clients));
         tokio::task::spawn_local(watch_primary::run(node.clone()));
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::ids::Revision;
@@ -12,7 +13,7 @@
 use crate::model::job::Job;
 use crate::model::job::Target;
 use crate::model::kind::Kind;
-use crate::model::object::Listing;
+use crate::model::object::Object;
 use crate::model::outcome::Outcome;
 
 /// Number of a call on its connection.
@@ -27,6 +28,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     pub format: u32,
+    pub host: HostId,
     pub incarnation: Incarnation,
 }
 
@@ -53,9 +55,11 @@
     Floor {
         service: String,
     },
-    /// Asks for the store's content, where it differs from these revisions, and for its age.
+    /// Asks for the store's content, where it differs from these revisions, and for its age. The
+    /// answer may wait up to `hold` for a change.
     View {
         known: Vec<(Kind, Revision)>,
+        hold: Duration,
     },
     /// Asks to stop using a service's primary, whose record has this revision.
     Quiesce {
@@ -72,11 +76,16 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KindReport {
     pub kind: Kind,
-    pub revision: Revision,
+    /// Revision of the last change.
+    pub content: Revision,
     /// Age of the content, counted at the sender.
     pub age: Duration,
-    /// Content, if the asker has another revision.
-    pub listing: Option<Listing>,
+    /// Names of all objects, if the asker's content is older.
+    pub names: Vec<String>,
+    /// Objects that changed after the asker's content.
+    pub objects: Vec<Object>,
+    /// False if the objects were left out because of their size.
+    pub complete: bool,
 }
 
 /// Answer to a call.
@@ -86,7 +95,11 @@
     Outcome(Outcome),
     Tokens(u32),
     Floor(Option<(Duration, LogPosition)>),
-    View(Vec<KindReport>),
+    View {
+        /// Time for which the answer waited.
+        held: Duration,
+        reports: Vec<KindReport>,
+    },
     Reach(bool),
 }
 
--- a/crates/gateway/src/mesh/mesh_handle.rs
+++ b/crates/gateway/src/mesh/mesh_handle.rs
@@ -60,14 +60,16 @@
 /// Connections to the other hosts, opened when they are first needed.
 #[derive(Debug)]
 pub struct MeshHandle {
+    host: HostId,
     own: Incarnation,
     peers: RefCell<BTreeMap<HostId, Peer>>,
     next: Cell<CallId>,
 }
 
 impl MeshHandle {
-    pub fn open(own: Incarnation) -> Rc<Self> {
+    pub fn open(host: HostId, own: Incarnation) -> Rc<Self> {
         Rc::new(Self {
+            host,
             own,
             peers: RefCell::default(),
             next: Cell::new(1),
@@ -215,6 +217,7 @@
         let (mut reader, mut writer) = link::open(stream);
         let hello = Hello {
             format: FORMAT,
+            host: self.host.clone(),
             incarnation: self.own,
         };
         let greeting = async {
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -61,6 +61,7 @@
     }
     let own = Hello {
         format: FORMAT,
+        host: node.settings.host.clone(),
         incarnation: node.incarnation,
     };
     writer.send(&own).await?;
@@ -68,7 +69,7 @@
     let receive = async move {
         let mut channels: HashMap<ChannelId, ChannelHandle> = HashMap::new();
         while let Some(call) = reader.next::<Numbered<Call>>().await? {
-            on_call(&node, &mut channels, call, &answers);
+            on_call(&node, &hello.host, &mut channels, call, &answers);
         }
         Ok::<(), WireError>(())
     };
@@ -80,6 +81,7 @@
 
 fn on_call<P: Platform>(
     node: &Rc<Node<P>>,
+    from: &str,
     channels: &mut HashMap<ChannelId, ChannelHandle>,
     call: Numbered<Call>,
     answers: &mpsc::Sender<Numbered<Return>>,
@@ -111,22 +113,23 @@
         body => {
             let node = node.clone();
             let answers = answers.clone();
+            let from = from.to_owned();
             tokio::task::spawn_local(async move {
-                let body = slow_call(&node, body).await;
+                let body = slow_call(&node, &from, body).await;
                 answer(&answers, id, body);
             });
         }
     }
 }
 
-async fn slow_call<P: Platform>(node: &Rc<Node<P>>, call: Call) -> Return {
+async fn slow_call<P: Platform>(node: &Rc<Node<P>>, from: &str, call: Call) -> Return {
     match call {
         Call::Tokens {
             organisation,
             count,
-        } => Return::Tokens(node.quota.grant(node, &organisation, count)),
+        } => Return::Tokens(node.quota.grant(node, from, &organisation, count)),
         Call::Floor { service } => Return::Floor(node.observe_primary(&service).await),
-        Call::View { known } => Return::View(node.view_report(&known)),
+        Call::View { known, hold } => node.on_view_call(from, &known, hold).await,
         Call::Quiesce { service, revision } => {
             node.quiesce(&service, revision).await;
             Return::Done
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,7 +28,7 @@
 use crate::model::error_code::ErrorCode;
 use crate::model::kind::Kind;
 use crate::model::member_status::MemberStatus;
-use crate::model::object::Listing;
+use crate::model::object::Content;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
@@ -36,6 +36,7 @@
 use crate::policy::homes;
 use crate::policy::homes::Candidate;
 use crate::policy::read_floor::ReadFloor;
+use crate::policy::readers;
 use crate::primary_use::PrimaryUse;
 use crate::primary_use::UseGuard;
 use crate::quota_keeper::QuotaKeeper;
@@ -57,6 +58,8 @@
 const QUIESCE_LIMIT: Duration = Duration::from_millis(300);
 /// Name under which this host asks members about themselves.
 const STATUS_USER: &str = "-";
+/// Routes and keys of a configuration that hosts still pass on to each other, about 20 KB.
+const LARGE_ENTRIES: usize = 200;
 /// Limit of a transaction's rest when no configuration is known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(3);
 
@@ -81,18 +84,21 @@
     floors: RefCell<BTreeMap<String, ReadFloor>>,
     fetching: RefCell<BTreeMap<String, watch::Receiver<bool>>>,
     leaving: RefCell<BTreeMap<MemberId, Duration>>,
+    /// When each host last asked for this host's view.
+    asked: RefCell<BTreeMap<HostId, Duration>>,
 }
 
 impl<P: Platform> Node<P> {
     pub fn new(settings: Settings, store: P::Store) -> Rc<Self> {
         let incarnation: Incarnation = rand::random();
+        let host = settings.host.clone();
         Rc::new(Self {
             settings,
             incarnation,
             store,
             view: RefCell::default(),
             changed: watch::channel(0).0,
-            mesh: MeshHandle::open(incarnation),
+            mesh: MeshHandle::open(host, incarnation),
             pools: PoolTable::default(),
             quota: QuotaKeeper::default(),
             metrics: Metrics::open(),
@@ -104,6 +110,7 @@
             floors: RefCell::default(),
             fetching: RefCell::default(),
             leaving: RefCell::default(),
+            asked: RefCell::default(),
         })
     }
 
@@ -433,23 +440,73 @@
         }
     }
 
-    /// What this host knows of the store, for a host whose own calls fail.
-    pub fn view_report(&self, known: &[(Kind, Revision)]) -> Vec<KindReport> {
+    /// Hosts that watch the store for all, as far as this host reaches them.
+    pub fn readers(&self) -> Vec<HostId> {
+        readers::readers(&self.live_hosts())
+    }
+
+    /// Registered hosts that are not leaving, reached or not; the same on all hosts.
+    pub fn registered_hosts(&self) -> Vec<HostId> {
+        let view = self.view.borrow();
+        let hosts = view.hosts().into_iter();
+        hosts
+            .filter(|(_, entry)| !entry.leaving)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// When a host last asked for this host's view.
+    pub fn last_asked(&self, host: &str) -> Option<Duration> {
+        self.asked.borrow().get(host).copied()
+    }
+
+    /// Reports this host's view to another host; waits up to `hold` for something it lacks.
+    pub async fn on_view_call(
+        &self,
+        from: &str,
+        known: &[(Kind, Revision)],
+        hold: Duration,
+    ) -> Return {
+        let start = clock::now();
+        self.asked.borrow_mut().insert(from.to_owned(), start);
+        let lacks = || {
+            let view = self.view.borrow();
+            let newer = |(kind, content): &(Kind, Revision)| {
+                view.kind(*kind).is_some_and(|k| k.content > *content)
+            };
+            known.iter().any(newer)
+        };
+        let mut changed = self.changed.subscribe();
+        let news = async {
+            while !lacks() {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Without news the answer still tells the age.
+        let _ = tokio::time::timeout(hold, news).await;
         let now = clock::now();
         let view = self.view.borrow();
-        let report = |(kind, revision): &(Kind, Revision)| {
-            let held = view.kind(*kind)?;
-            let listing = (held.revision > *revision).then(|| Listing {
-                objects: held.objects.values().cloned().collect(),
-                revision: held.revision,
-            });
-            Some(KindReport {
-                kind: *kind,
-                revision: held.revision,
-                age: held.age(now)?,
-                listing,
-            })
+        let report = |(kind, content): &(Kind, Revision)| {
+            let mut report = view.kind(*kind)?.report(*kind, *content, now)?;
+            if *kind == Kind::Configuration && large(&report) {
+                report.objects.clear();
+                report.complete = false;
+            }
+            Some(report)
         };
-        known.iter().filter_map(report).collect()
+        Return::View {
+            held: now.saturating_sub(start),
+            reports: known.iter().filter_map(report).collect(),
+        }
     }
 }
+
+/// Whether a configuration is better read from the store than sent by a host to all others.
+fn large(report: &KindReport) -> bool {
+    report.objects.iter().any(|o| match &o.content {
+        Some(Content::Configuration(c)) => c.routes.len() + c.keys.len() > LARGE_ENTRIES,
+        _ => false,
+    })
+}
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod admission;
 pub mod bounds;
+pub mod callers;
 pub mod connection_plan;
 pub mod homes;
 pub mod quota;
 pub mod read_floor;
+pub mod readers;
 pub mod replica_choice;
 pub mod succession;
--- a/crates/gateway/src/quota_keeper.rs
+++ b/crates/gateway/src/quota_keeper.rs
@@ -13,6 +13,7 @@
 use crate::mesh::frame::Return;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::policy::callers::Callers;
 use crate::policy::quota::QuotaTable;
 
 /// Tokens asked for at once; the rest serves the next operations without a call.
@@ -28,6 +29,7 @@
 pub struct QuotaKeeper {
     table: RefCell<QuotaTable>,
     held: RefCell<BTreeMap<OrganisationId, (u32, Duration)>>,
+    callers: RefCell<BTreeMap<OrganisationId, Callers>>,
 }
 
 impl QuotaKeeper {
@@ -42,11 +44,23 @@
         }
     }
 
-    /// Grants tokens to another host. The part of hosts that this one cannot reach is left to
-    /// them.
-    pub fn grant<P: Platform>(&self, node: &Node<P>, organisation: &str, count: u32) -> u32 {
-        let (reached, all) = node.host_counts();
-        let share = f64::from(reached) / f64::from(all.max(1));
+    /// Grants tokens to a host. The part of hosts that went silent is left to them, since a host
+    /// that is cut off uses its own part.
+    pub fn grant<P: Platform>(
+        &self,
+        node: &Node<P>,
+        from: &str,
+        organisation: &str,
+        count: u32,
+    ) -> u32 {
+        let now = clock::now();
+        let (_, all) = node.host_counts();
+        let share = {
+            let mut callers = self.callers.borrow_mut();
+            let callers = callers.entry(organisation.to_owned()).or_default();
+            callers.record(from, now);
+            callers.share(all, now)
+        };
         self.take_local(node, organisation, share, count)
     }
 
@@ -55,7 +69,8 @@
         if self.take_held(organisation) {
             return true;
         }
-        let hosts = node.live_hosts();
+        // All hosts must name the same owner, so those that cannot be reached count as well.
+        let hosts = node.registered_hosts();
         let owner = rendezvous::owner(organisation, hosts.iter().map(String::as_str));
         let granted = match owner {
             Some(owner) if owner != node.settings.host => {
@@ -72,7 +87,7 @@
                     }
                 }
             }
-            _ => self.grant(node, organisation, 1),
+            _ => self.grant(node, &node.settings.host, organisation, 1),
         };
         if granted > 1 {
             let entry = (granted - 1, clock::now());
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -15,13 +15,16 @@
 use crate::platform::Store;
 use crate::store_error::StoreError;
 
-/// Time a watch waits at the store. It bounds the age of the view of an idle store, and sets the
-/// number of calls.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Time a watch waits at the store. With the time that an answer to a peer waits it bounds the age
+/// of a view, which must stay below the bounds on keys and primaries of 4 s and more.
+const WATCH_WAIT: Duration = Duration::from_millis(1300);
+/// Time that an answer to a peer may wait for news.
+const HOLD: Duration = Duration::from_millis(800);
 /// Pause after a failed call, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Age of the view from which peers are asked for theirs.
-const PEER_AGE: Duration = Duration::from_millis(1600);
+/// Age of the view from which a host that is no reader reads the store and asks some peers; above
+/// the age that readers allow for.
+const PEER_AGE: Duration = Duration::from_millis(2500);
 /// Interval at which the age is checked.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
 /// Peers asked at a time.
@@ -34,6 +37,10 @@
     let mut listed = false;
     let mut failing = false;
     loop {
+        if listed && !reads_store(&node) {
+            tokio::time::sleep(PEER_INTERVAL).await;
+            continue;
+        }
         let result = step(&node, kind, &mut listed).await;
         match result {
             Ok(()) => {
@@ -91,6 +98,24 @@
     Ok(())
 }
 
+async fn list<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Result<(), StoreError> {
+    let sent = clock::now();
+    let listing = node.store.list(kind).await?;
+    unreadable(
+        kind,
+        listing
+            .objects
+            .iter()
+            .filter(|o| o.content.is_none())
+            .count(),
+    );
+    node.view
+        .borrow_mut()
+        .on_listing(kind, listing, sent, clock::now());
+    node.on_view_changed();
+    Ok(())
+}
+
 fn unreadable(kind: Kind, count: usize) {
     if count > 0 {
         tracing::warn!(
@@ -102,55 +127,85 @@
     }
 }
 
-/// Asks peers for their view while the own one grows old, until the process ends.
+/// Asks the readers for their view, as long as this host is none itself.
+pub async fn ask_readers<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        let readers = node.readers();
+        let own = &node.settings.host;
+        let reader = readers.first().filter(|_| !readers.contains(own));
+        let known = node.view.borrow().contents();
+        let asked = match reader {
+            Some(reader) => ask(&node, reader, known, HOLD).await,
+            None => false,
+        };
+        if !asked {
+            tokio::time::sleep(PEER_INTERVAL).await;
+        }
+    }
+}
+
+/// Asks some peers for their view while the own one is old, until the process ends.
 pub async fn ask_peers<P: Platform>(node: Rc<Node<P>>) {
     loop {
         tokio::time::sleep(PEER_INTERVAL).await;
-        let now = clock::now();
-        let old: Vec<_> = {
-            let view = node.view.borrow();
-            let is_old = |k: &Kind| view.age(&[*k], now).is_none_or(|age| age > PEER_AGE);
-            Kind::ALL
-                .into_iter()
-                .filter(is_old)
-                .map(|k| (k, view.revision(k)))
-                .collect()
-        };
-        if old.is_empty() {
+        if !is_old(&node) {
             continue;
         }
+        let known = node.view.borrow().contents();
         let mut hosts = node.live_hosts();
         hosts.retain(|h| *h != node.settings.host);
         hosts.shuffle(&mut rand::rng());
         let asked = hosts.iter().take(PEERS_ASKED);
-        futures::future::join_all(asked.map(|host| ask(&node, host, &old))).await;
+        let calls = asked.map(|host| ask(&node, host, known.clone(), Duration::ZERO));
+        futures::future::join_all(calls).await;
     }
 }
 
-async fn ask<P: Platform>(node: &Rc<Node<P>>, host: &str, known: &[(Kind, u64)]) {
+fn is_old<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    let age = node.view.borrow().age(&Kind::ALL, clock::now());
+    age.is_none_or(|age| age > PEER_AGE)
+}
+
+/// Whether this host reads the store itself.
+fn reads_store<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    node.readers().contains(&node.settings.host) || is_old(node)
+}
+
+async fn ask<P: Platform>(
+    node: &Rc<Node<P>>,
+    host: &str,
+    known: Vec<(Kind, u64)>,
+    hold: Duration,
+) -> bool {
     let asked = clock::now();
-    let call = Call::View {
-        known: known.to_vec(),
-    };
-    let answer = node.mesh.call(host, call, PEER_LIMIT).await;
-    let Ok(Return::View(reports)) = answer else {
+    let call = Call::View { known, hold };
+    let answer = node.mesh.call(host, call, hold + PEER_LIMIT).await;
+    let Ok(Return::View { held, reports }) = answer else {
         tracing::debug!(event = 606, host, "a peer did not report its view");
-        return;
+        return false;
     };
     let mut changed = false;
+    let mut large = Vec::new();
     for report in reports {
-        // The age was counted after the question left, so this time is not too late.
-        let at = asked.saturating_sub(report.age);
+        // The age was counted at least `held` after the question left, so this time is not too
+        // late.
+        let at = (asked + held).saturating_sub(report.age);
+        let kind = report.kind;
         let mut view = node.view.borrow_mut();
-        if let Some(listing) = report.listing {
-            changed = true;
-            view.on_listing(report.kind, listing, at, clock::now());
+        changed |= !report.names.is_empty() || !report.objects.is_empty();
+        if !view.on_report(report, at, clock::now()) {
+            large.push(kind);
+        }
+    }
+    for kind in large {
+        if let Err(error) = list(node, kind).await {
+            tracing::warn!(event = 601, ?kind, %error, "store not reached");
         }
-        view.on_vouched(report.kind, report.revision, at);
     }
     if changed {
         node.on_view_changed();
     }
+    true
 }
 
 /// Registers this host, and again whenever its entry is missing or another process's.
--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -1,10 +1,13 @@
 //! Copy of all objects of one kind.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::Revision;
 
+use crate::mesh::frame::KindReport;
+use crate::model::kind::Kind;
 use crate::model::object::Change;
 use crate::model::object::Changes;
 use crate::model::object::Listing;
@@ -14,8 +17,10 @@
 #[derive(Debug, Default)]
 pub struct KindView {
     pub objects: BTreeMap<String, Object>,
-    /// Store revision up to which changes are included.
+    /// Store revision up to which changes are included; watches continue from here.
     pub revision: Revision,
+    /// Store revision of the last change of this content; it tells copies apart.
+    pub content: Revision,
     /// Time at which a call was sent whose answer showed this content.
     pub current: Option<Duration>,
 }
@@ -33,6 +38,7 @@
             self.store(object, known);
         }
         self.revision = listing.revision;
+        self.content = listing.revision;
         self.current = self.current.max(Some(sent));
         previous.into_values().collect()
     }
@@ -40,6 +46,9 @@
     /// Applies changes that were asked for at `sent`. Returns the removed objects.
     pub fn on_changes(&mut self, changes: Changes, sent: Duration) -> Vec<Object> {
         let mut removed = Vec::new();
+        if !changes.changes.is_empty() {
+            self.content = self.content.max(changes.revision);
+        }
         for change in changes.changes {
             match change {
                 Change::Set(object) => {
@@ -56,10 +65,58 @@
 
     /// Applies the answer to an own write, which is newer than what the view holds.
     pub fn on_written(&mut self, object: Object) {
+        self.content = self.content.max(object.revision);
         let known = self.objects.remove(&object.name);
         self.store(object, known);
     }
 
+    /// Applies a peer's copy, which was current at `at`. Returns the removed objects. None if the
+    /// report leaves out objects that this copy lacks.
+    pub fn on_report(&mut self, report: KindReport, at: Duration) -> Option<Vec<Object>> {
+        let changed = report.content > self.content;
+        if changed && !report.complete {
+            return None;
+        }
+        let mut removed = Vec::new();
+        if changed {
+            let names: BTreeSet<&String> = report.names.iter().collect();
+            let gone: Vec<String> = self
+                .objects
+                .keys()
+                .filter(|name| !names.contains(name))
+                .cloned()
+                .collect();
+            removed.extend(gone.iter().filter_map(|name| self.objects.remove(name)));
+            for object in report.objects {
+                let known = self.objects.remove(&object.name);
+                self.store(object, known);
+            }
+            self.content = report.content;
+            self.revision = self.revision.max(report.content);
+        }
+        // A copy that is newer than the peer's was current at that time as well.
+        self.current = self.current.max(Some(at));
+        Some(removed)
+    }
+
+    /// What a peer that has the content of revision `known` lacks.
+    pub fn report(&self, kind: Kind, known: Revision, now: Duration) -> Option<KindReport> {
+        let mut report = KindReport {
+            kind,
+            content: self.content,
+            age: self.age(now)?,
+            names: Vec::new(),
+            objects: Vec::new(),
+            complete: true,
+        };
+        if self.content > known {
+            report.names = self.objects.keys().cloned().collect();
+            let newer = self.objects.values().filter(|o| o.revision > known);
+            report.objects = newer.cloned().collect();
+        }
+        Some(report)
+    }
+
     /// Age of the content, none if nothing was read yet.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.current.map(|at| now.saturating_sub(at))
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod follower;
 pub mod kind_view;
+pub mod registry;
 pub mod view_state;
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -8,6 +8,7 @@
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
 
+use crate::mesh::frame::KindReport;
 use crate::model::configuration::Configuration;
 use crate::model::host_entry::HostEntry;
 use crate::model::kind::Kind;
@@ -30,6 +31,8 @@
     configuration: Option<Rc<Configuration>>,
     /// Members whose registration disappeared, and when.
     lapsed: BTreeMap<MemberId, (MemberEntry, Duration)>,
+    /// When a host's registration last disappeared while it was not leaving.
+    departed: Option<Duration>,
 }
 
 impl ViewState {
@@ -41,6 +44,12 @@
         self.kinds.get(&kind).map_or(0, |k| k.revision)
     }
 
+    /// Revision of the last change of each kind.
+    pub fn contents(&self) -> Vec<(Kind, Revision)> {
+        let content = |kind| self.kinds.get(&kind).map_or(0, |k: &KindView| k.content);
+        Kind::ALL.map(|kind| (kind, content(kind))).to_vec()
+    }
+
     /// Age of the oldest of these kinds; none if one was never read.
     pub fn age(&self, kinds: &[Kind], now: Duration) -> Option<Duration> {
         let ages = kinds.iter().map(|k| self.kinds.get(k)?.age(now));
@@ -67,12 +76,15 @@
         self.after(kind, Vec::new(), now);
     }
 
-    /// Records that a peer knew of no change after `revision` as of `at`. A newer content of this
-    /// host is then current as of that time as well.
-    pub fn on_vouched(&mut self, kind: Kind, revision: Revision, at: Duration) {
-        let view = self.view(kind);
-        if revision <= view.revision {
-            view.current = view.current.max(Some(at));
+    /// Applies a peer's copy that was current at `at`. False if it must be read from the store.
+    pub fn on_report(&mut self, report: KindReport, at: Duration, now: Duration) -> bool {
+        let kind = report.kind;
+        match self.view(kind).on_report(report, at) {
+            Some(removed) => {
+                self.after(kind, removed, now);
+                true
+            }
+            None => false,
         }
     }
 
@@ -128,6 +140,11 @@
             .collect()
     }
 
+    /// When a host that was not leaving last disappeared.
+    pub fn departed(&self) -> Option<Duration> {
+        self.departed
+    }
+
     pub fn host(&self, id: &str) -> Option<&HostEntry> {
         match self.kinds.get(&Kind::Hosts)?.objects.get(id)?.content {
             Some(Content::Host(ref entry)) => Some(entry),
@@ -160,7 +177,14 @@
                 self.lapsed
                     .retain(|_, (_, at)| now.saturating_sub(*at) < LAPSE);
             }
-            _ => {}
+            Kind::Hosts => {
+                let active =
+                    |o: &Object| matches!(&o.content, Some(Content::Host(h)) if !h.leaving);
+                if removed.iter().any(active) {
+                    self.departed = Some(now);
+                }
+            }
+            Kind::Evacuations | Kind::Primaries => {}
         }
     }
 
