--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -37,6 +37,14 @@
             let known = previous.remove(&object.name);
             self.store(object, known);
         }
+        // Own writes after the list was made are not in it.
+        previous.retain(|_, object| {
+            let newer = object.revision > listing.revision;
+            if newer {
+                self.objects.insert(object.name.clone(), object.clone());
+            }
+            !newer
+        });
         self.revision = listing.revision;
         self.content = listing.revision;
         self.current = self.current.max(Some(sent));
@@ -65,7 +73,7 @@
 
     /// Applies the answer to an own write, which is newer than what the view holds.
     pub fn on_written(&mut self, object: Object) {
-        self.content = self.content.max(object.revision);
+        // The content's revision stays: changes before this write may not have arrived yet.
         let known = self.objects.remove(&object.name);
         self.store(object, known);
     }
@@ -82,9 +90,9 @@
             let names: BTreeSet<&String> = report.names.iter().collect();
             let gone: Vec<String> = self
                 .objects
-                .keys()
-                .filter(|name| !names.contains(name))
-                .cloned()
+                .values()
+                .filter(|o| o.revision <= report.content && !names.contains(&o.name))
+                .map(|o| o.name.clone())
                 .collect();
             removed.extend(gone.iter().filter_map(|name| self.objects.remove(name)));
             for object in report.objects {
--- /dev/null
+++ b/crates/gateway/tests/view.rs
@@ -0,0 +1,216 @@
+//! Tests of the copies of the store: what a host may and may not conclude from lists, changes,
+//! reports of peers and its own writes.
+
+use std::time::Duration;
+
+use magnoliahatch_core::ids::Revision;
+use magnoliahatch_gateway::model::configuration::Configuration;
+use magnoliahatch_gateway::model::host_entry::HostEntry;
+use magnoliahatch_gateway::model::kind::Kind;
+use magnoliahatch_gateway::model::member_entry::MemberEntry;
+use magnoliahatch_gateway::model::object::Change;
+use magnoliahatch_gateway::model::object::Changes;
+use magnoliahatch_gateway::model::object::Content;
+use magnoliahatch_gateway::model::object::Listing;
+use magnoliahatch_gateway::model::object::Object;
+use magnoliahatch_gateway::view::kind_view::KindView;
+use magnoliahatch_gateway::view::view_state::ViewState;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn object(name: &str, revision: Revision) -> Object {
+    Object {
+        name: name.to_owned(),
+        revision,
+        content: Some(Content::Evacuation),
+    }
+}
+
+fn listing(revision: Revision, objects: Vec<Object>) -> Listing {
+    Listing { objects, revision }
+}
+
+fn changes(revision: Revision, changes: Vec<Change>) -> Changes {
+    Changes { changes, revision }
+}
+
+fn member(service: &str) -> Content {
+    Content::Member(MemberEntry {
+        service: service.to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: "a".to_owned(),
+        slots: 2,
+        draining: false,
+        primary: false,
+        born: 1,
+    })
+}
+
+/// Guards against a host that never hears of a change made just before its own write: its copy
+/// must not count as being as new as the write.
+#[test]
+fn own_write_does_not_hide_an_earlier_change_of_another_host() {
+    let mut reader = KindView::default();
+    reader.on_listing(listing(40, vec![]), seconds(1));
+    let mut follower = KindView::default();
+    follower.on_listing(listing(40, vec![]), seconds(1));
+    let both = vec![
+        Change::Set(object("theirs", 48)),
+        Change::Set(object("own", 50)),
+    ];
+    reader.on_changes(changes(50, both), seconds(2));
+
+    follower.on_written(object("own", 50));
+    let report = reader
+        .report(Kind::Primaries, follower.content, seconds(2))
+        .expect("the reader has listed");
+    follower.on_report(report, seconds(2));
+
+    assert!(follower.objects.contains_key("theirs"));
+}
+
+/// Guards against a host that forgets its own registration because a peer has not seen it yet.
+#[test]
+fn report_of_an_older_copy_keeps_a_newer_own_write() {
+    let mut reader = KindView::default();
+    reader.on_listing(listing(48, vec![object("theirs", 48)]), seconds(1));
+    let mut follower = KindView::default();
+    follower.on_listing(listing(40, vec![]), seconds(1));
+    follower.on_written(object("own", 50));
+
+    let report = reader
+        .report(Kind::Hosts, follower.content, seconds(2))
+        .expect("the reader has listed");
+    follower.on_report(report, seconds(2));
+
+    assert!(follower.objects.contains_key("own"));
+    assert!(follower.objects.contains_key("theirs"));
+}
+
+/// Guards against members that stay in use after they left, where a peer passes the removal on.
+#[test]
+fn report_passes_a_removal_on() {
+    let mut reader = KindView::default();
+    reader.on_listing(listing(10, vec![object("a", 5), object("b", 6)]), seconds(1));
+    let mut follower = KindView::default();
+    follower.on_listing(listing(10, vec![object("a", 5), object("b", 6)]), seconds(1));
+    reader.on_changes(
+        changes(12, vec![Change::Removed("a".to_owned())]),
+        seconds(2),
+    );
+
+    let report = reader
+        .report(Kind::Members, follower.content, seconds(2))
+        .expect("the reader has listed");
+    let removed = follower.on_report(report, seconds(2)).expect("complete");
+
+    assert_eq!(removed.len(), 1);
+    assert_eq!(follower.objects.keys().collect::<Vec<_>>(), ["b"]);
+}
+
+/// Guards against a configuration that was left out of a report because of its size, but counted
+/// as received.
+#[test]
+fn incomplete_report_leaves_content_and_age_as_they_were() {
+    let mut follower = KindView::default();
+    follower.on_listing(listing(10, vec![object("main", 10)]), seconds(1));
+    let mut reader = KindView::default();
+    reader.on_listing(listing(20, vec![object("main", 20)]), seconds(5));
+    let mut report = reader
+        .report(Kind::Configuration, follower.content, seconds(5))
+        .expect("the reader has listed");
+    report.objects.clear();
+    report.complete = false;
+
+    assert!(follower.on_report(report, seconds(5)).is_none());
+    assert_eq!(follower.content, 10);
+    assert_eq!(follower.age(seconds(6)), Some(seconds(5)));
+}
+
+/// Guards against a late answer that brings back a removed object.
+#[test]
+fn older_list_is_ignored() {
+    let mut view = KindView::default();
+    view.on_listing(listing(20, vec![]), seconds(2));
+    view.on_listing(listing(10, vec![object("a", 5)]), seconds(1));
+    assert!(view.objects.is_empty());
+    assert_eq!(view.age(seconds(3)), Some(seconds(1)));
+}
+
+/// Guards against another writer's unreadable bytes that displace a known configuration.
+#[test]
+fn unreadable_content_keeps_what_is_known() {
+    let mut view = KindView::default();
+    view.on_listing(listing(10, vec![object("main", 10)]), seconds(1));
+    let broken = Object {
+        content: None,
+        ..object("main", 11)
+    };
+    view.on_changes(changes(11, vec![Change::Set(broken)]), seconds(2));
+    assert_eq!(view.objects["main"].content, Some(Content::Evacuation));
+    assert_eq!(view.objects["main"].revision, 11);
+}
+
+/// Guards against a configuration that goes back to a lower version.
+#[test]
+fn configuration_never_goes_back() {
+    let configuration = |version, revision| Object {
+        name: "main".to_owned(),
+        revision,
+        content: Some(Content::Configuration(Configuration {
+            version,
+            ..Configuration::default()
+        })),
+    };
+    let mut view = ViewState::default();
+    let kind = Kind::Configuration;
+    let newer = listing(10, vec![configuration(7, 10)]);
+    view.on_listing(kind, newer, seconds(1), seconds(1));
+    let older = changes(12, vec![Change::Set(configuration(6, 12))]);
+    view.on_changes(kind, older, seconds(2), seconds(2));
+    assert_eq!(view.configuration().expect("known").version, 7);
+}
+
+/// Guards against service lost when registrations lapse while the store is away, and against a
+/// member that stays in use when its registration does not return.
+#[test]
+fn lapsed_registration_is_used_for_a_moment_only() {
+    let entry = Object {
+        name: "m1".to_owned(),
+        revision: 5,
+        content: Some(member("ledger")),
+    };
+    let mut view = ViewState::default();
+    view.on_listing(Kind::Members, listing(5, vec![entry]), seconds(1), seconds(1));
+    let gone = changes(9, vec![Change::Removed("m1".to_owned())]);
+    view.on_changes(Kind::Members, gone, seconds(10), seconds(10));
+    assert_eq!(view.members("ledger", seconds(11)).len(), 1);
+    assert!(view.registered("m1").is_none());
+    assert!(view.members("ledger", seconds(13)).is_empty());
+}
+
+/// Guards against a change of primary that does not wait for a host whose registration was just
+/// removed while its view may still allow it to use the old primary.
+#[test]
+fn removed_host_that_was_not_leaving_is_remembered() {
+    let host = |leaving| Object {
+        name: "h1".to_owned(),
+        revision: 5,
+        content: Some(Content::Host(HostEntry {
+            mesh: ([10, 0, 0, 1], 90).into(),
+            data_centre: "a".to_owned(),
+            incarnation: 1,
+            leaving,
+        })),
+    };
+    for (leaving, departed) in [(false, Some(seconds(3))), (true, None)] {
+        let mut view = ViewState::default();
+        let list = listing(5, vec![host(leaving)]);
+        view.on_listing(Kind::Hosts, list, seconds(1), seconds(1));
+        let gone = changes(9, vec![Change::Removed("h1".to_owned())]);
+        view.on_changes(Kind::Hosts, gone, seconds(3), seconds(3));
+        assert_eq!(view.departed(), departed);
+    }
+}
