--- a/crates/gateway/src/policy/readers.rs
+++ b/crates/gateway/src/policy/readers.rs
@@ -3,8 +3,9 @@
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::rendezvous;
 
-/// Hosts that watch the store. The second one is ready when the first fails.
-pub const READERS: usize = 2;
+/// Hosts that watch the store. Each call is priced, and the next in order takes over as soon as it
+/// finds the first unreachable.
+pub const READERS: usize = 1;
 /// Duty name; its hash places the readers.
 const DUTY: &str = "store-reader";
 
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -15,16 +15,18 @@
 use crate::platform::Store;
 use crate::store_error::StoreError;
 
-/// Time a watch waits at the store. With the time that an answer to a peer waits it bounds the age
-/// of a view, which must stay below the bounds on keys and primaries of 4 s and more.
-const WATCH_WAIT: Duration = Duration::from_millis(1300);
-/// Time that an answer to a peer may wait for news.
-const HOLD: Duration = Duration::from_millis(800);
+/// Time a watch waits at the store. A view may be twice as old as this, since a watch only shows
+/// what was current when it was sent. Above one second, so that a watch that the store leaves
+/// without news for a second is cut before it ends.
+const WATCH_WAIT: Duration = Duration::from_millis(1200);
+/// Time that an answer to a peer may wait for news. Twice the watch and this must stay below
+/// `PEER_AGE`.
+const HOLD: Duration = Duration::from_millis(600);
 /// Pause after a failed call, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Age of the view from which a host that is no reader reads the store and asks some peers; above
-/// the age that readers allow for.
-const PEER_AGE: Duration = Duration::from_millis(2500);
+/// Age of the view from which a host that is no reader reads the store and asks some peers. Below
+/// the bounds on keys and primaries, which are 4 s and more.
+const PEER_AGE: Duration = Duration::from_millis(3300);
 /// Interval at which the age is checked.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
 /// Peers asked at a time.
