Let only busy hosts that fall silent keep a part of a rate

Cause: the owner of a rate left a part to every host that had not asked for 1.2 s; with 61 hosts and 73 organisations most hosts ask rarely. Test: callers.rs.

--- /dev/null
+++ b/crates/gateway/tests/callers.rs
@@ -0,0 +1,48 @@
+//! Tests of how much of a rate its owner grants while some hosts are silent.
+
+use std::time::Duration;
+
+use magnoliahatch_gateway::policy::callers::Callers;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Pattern: many hosts that each see an organisation now and then. Their silence must not shrink
+/// the rate for the others (18% of the requests of a calm day were refused).
+#[test]
+fn rare_callers_leave_the_whole_rate() {
+    let mut callers = Callers::default();
+    for round in 0..20_u64 {
+        for host in 0..60_u64 {
+            let time = round * 3000 + host * 50;
+            callers.record(&format!("h{host}"), at(time));
+        }
+    }
+    let share = callers.share(60, at(62_000));
+    assert!((share - 1.0).abs() < 1e-9, "share {share}");
+}
+
+/// Pattern: a partition cuts off a third of the hosts while an organisation floods. They use their
+/// own part, so the owner must not grant it as well.
+#[test]
+fn busy_hosts_that_fall_silent_keep_their_part() {
+    let mut callers = Callers::default();
+    for time in (0..5000).step_by(50) {
+        for host in 0..9 {
+            callers.record(&format!("h{host}"), at(time));
+        }
+    }
+    for time in (5000..8000).step_by(50) {
+        for host in 0..6 {
+            callers.record(&format!("h{host}"), at(time));
+        }
+    }
+    let share = callers.share(9, at(8000));
+    assert!((share - 6.0 / 9.0).abs() < 1e-9, "share {share}");
+    for host in 6..9 {
+        callers.record(&format!("h{host}"), at(8010));
+    }
+    let share = callers.share(9, at(8020));
+    assert!((share - 1.0).abs() < 1e-9, "share {share}");
+}
