--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -19,6 +19,7 @@
 use crate::model::object::Content;
 use crate::model::primary_record::PrimaryChange;
 use crate::model::primary_record::PrimaryRecord;
+use crate::node::HOSTS_AGE;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::platform::PromotionOrder;
@@ -198,7 +199,7 @@
         // A host whose registration was removed a moment ago may still use an older view.
         let departed = self.node.view.borrow().departed();
         if let Some(departed) = departed {
-            let lapse = departed + self.node.settings.bounds.primary_view;
+            let lapse = departed + HOSTS_AGE;
             tokio::time::sleep(lapse.saturating_sub(clock::now())).await;
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -56,6 +56,11 @@
 const FLOOR_LIMIT: Duration = Duration::from_millis(700);
 /// Time for statements in flight to end before a primary is given up.
 const QUIESCE_LIMIT: Duration = Duration::from_millis(300);
+/// A host that has been asked for news within this time goes on reading the store.
+const READER_MEMORY: Duration = Duration::from_millis(1500);
+/// A host whose list of hosts is older uses no primary. A change of primary waits this long for a
+/// host that was removed from the list and may not know it.
+pub const HOSTS_AGE: Duration = Duration::from_secs(8);
 /// Name under which this host asks members about themselves.
 const STATUS_USER: &str = "-";
 /// Routes and keys of a configuration that hosts still pass on to each other, about 20 KB.
@@ -86,6 +91,8 @@
     leaving: RefCell<BTreeMap<MemberId, Duration>>,
     /// When each host last asked for this host's view.
     asked: RefCell<BTreeMap<HostId, Duration>>,
+    /// When a host last asked for news of this host's view.
+    relied: Cell<Option<Duration>>,
 }
 
 impl<P: Platform> Node<P> {
@@ -111,6 +118,7 @@
             fetching: RefCell::default(),
             leaving: RefCell::default(),
             asked: RefCell::default(),
+            relied: Cell::new(None),
         })
     }
 
@@ -253,8 +261,10 @@
     /// change of primary waits that long for hosts that do not answer.
     pub fn may_use(&self, service: &str, member: &str) -> bool {
         let view = self.view.borrow();
-        let age = view.age(&[Kind::Primaries, Kind::Hosts], clock::now());
-        let recent = age.is_some_and(|age| age <= self.settings.bounds.primary_view);
+        let now = clock::now();
+        let within = |kind, limit| view.age(&[kind], now).is_some_and(|age| age <= limit);
+        let recent = within(Kind::Primaries, self.settings.bounds.primary_view)
+            && within(Kind::Hosts, HOSTS_AGE);
         let registered = view
             .host(&self.settings.host)
             .is_some_and(|h| h.incarnation == self.incarnation);
@@ -440,9 +450,16 @@
         }
     }
 
-    /// Hosts that watch the store for all, as far as this host reaches them.
+    /// Hosts that may watch the store for all, in order, as far as this host reaches them.
     pub fn readers(&self) -> Vec<HostId> {
-        readers::readers(&self.live_hosts())
+        readers::candidates(&self.live_hosts())
+    }
+
+    /// Whether other hosts rely on this host's view.
+    pub fn is_reader(&self) -> bool {
+        let now = clock::now();
+        let recent = |at| now.saturating_sub(at) < READER_MEMORY;
+        self.relied.get().is_some_and(recent) || self.readers().first() == Some(&self.settings.host)
     }
 
     /// Registered hosts that are not leaving, reached or not; the same on all hosts.
@@ -469,6 +486,9 @@
     ) -> Return {
         let start = clock::now();
         self.asked.borrow_mut().insert(from.to_owned(), start);
+        if !hold.is_zero() {
+            self.relied.set(Some(start));
+        }
         let lacks = || {
             let view = self.view.borrow();
             let newer = |(kind, content): &(Kind, Revision)| {
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -13,15 +13,21 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::platform::Store;
+use crate::policy::readers::ReaderChoice;
 use crate::store_error::StoreError;
 
-/// Time a watch waits at the store. A view may be twice as old as this, since a watch only shows
-/// what was current when it was sent. Above one second, so that a watch that the store leaves
-/// without news for a second is cut before it ends.
-const WATCH_WAIT: Duration = Duration::from_millis(1200);
+/// Time a watch waits at the store for kinds whose age limits what a host may do. A view may be
+/// twice as old as this, since a watch only shows what was current when it was sent. Above one
+/// second, so that a watch that the store leaves without news for a second is cut before it ends.
+const STAMPED_WAIT: Duration = Duration::from_millis(1200);
+/// Time a watch waits for the other kinds. A connection that went silent costs this time, which
+/// must stay below the bounds on evacuations and leaving members of 5 s and more.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Time that an answer to a peer may wait for news. Twice the watch and this must stay below
 /// `PEER_AGE`.
 const HOLD: Duration = Duration::from_millis(600);
+/// Kinds whose age limits what a host may do.
+const STAMPED: [Kind; 2] = [Kind::Configuration, Kind::Primaries];
 /// Pause after a failed call, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Age of the view from which a host that is no reader reads the store and asks some peers. Below
@@ -29,6 +35,8 @@
 const PEER_AGE: Duration = Duration::from_millis(3300);
 /// Interval at which the age is checked.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval at which a host looks whether it has to read the store.
+const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Peers asked at a time.
 const PEERS_ASKED: usize = 3;
 /// Limit of a call to a peer.
@@ -39,8 +47,11 @@
     let mut listed = false;
     let mut failing = false;
     loop {
-        if listed && !reads_store(&node) {
-            tokio::time::sleep(PEER_INTERVAL).await;
+        let started = node.view.borrow().age(&[kind], clock::now()).is_some();
+        if started && !reads_store(&node) {
+            tokio::time::sleep(ROLE_INTERVAL).await;
+            // A list shows at once how current the view is; a watch only after its wait.
+            listed = false;
             continue;
         }
         let result = step(&node, kind, &mut listed).await;
@@ -89,7 +100,12 @@
         return Ok(());
     }
     let from = node.view.borrow().revision(kind);
-    let changes = node.store.watch(kind, from, WATCH_WAIT).await?;
+    let wait = if STAMPED.contains(&kind) {
+        STAMPED_WAIT
+    } else {
+        WATCH_WAIT
+    };
+    let changes = node.store.watch(kind, from, wait).await?;
     let changed = !changes.changes.is_empty();
     node.view
         .borrow_mut()
@@ -129,19 +145,25 @@
     }
 }
 
-/// Asks the readers for their view, as long as this host is none itself.
+/// Asks the reader for its view, as long as this host is none itself.
 pub async fn ask_readers<P: Platform>(node: Rc<Node<P>>) {
+    let mut choice = ReaderChoice::default();
     loop {
-        let readers = node.readers();
-        let own = &node.settings.host;
-        let reader = readers.first().filter(|_| !readers.contains(own));
-        let known = node.view.borrow().contents();
-        let asked = match reader {
-            Some(reader) => ask(&node, reader, known, HOLD).await,
-            None => false,
-        };
-        if !asked {
+        let reader = choice.choose(node.readers(), clock::now());
+        let Some(reader) = reader.filter(|r| *r != node.settings.host) else {
             tokio::time::sleep(PEER_INTERVAL).await;
+            continue;
+        };
+        let known = node.view.borrow().contents();
+        let asked = ask(&node, &reader, known, HOLD).await;
+        if !asked || is_old(&node) {
+            tracing::info!(
+                event = 618,
+                reader,
+                asked,
+                "reader of the store passed over"
+            );
+            choice.on_failure(reader, clock::now());
         }
     }
 }
@@ -164,13 +186,13 @@
 }
 
 fn is_old<P: Platform>(node: &Rc<Node<P>>) -> bool {
-    let age = node.view.borrow().age(&Kind::ALL, clock::now());
+    let age = node.view.borrow().age(&STAMPED, clock::now());
     age.is_none_or(|age| age > PEER_AGE)
 }
 
 /// Whether this host reads the store itself.
 fn reads_store<P: Platform>(node: &Rc<Node<P>>) -> bool {
-    node.readers().contains(&node.settings.host) || is_old(node)
+    node.is_reader() || is_old(node)
 }
 
 async fn ask<P: Platform>(
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -93,9 +93,15 @@
 #[test]
 fn report_passes_a_removal_on() {
     let mut reader = KindView::default();
-    reader.on_listing(listing(10, vec![object("a", 5), object("b", 6)]), seconds(1));
+    reader.on_listing(
+        listing(10, vec![object("a", 5), object("b", 6)]),
+        seconds(1),
+    );
     let mut follower = KindView::default();
-    follower.on_listing(listing(10, vec![object("a", 5), object("b", 6)]), seconds(1));
+    follower.on_listing(
+        listing(10, vec![object("a", 5), object("b", 6)]),
+        seconds(1),
+    );
     reader.on_changes(
         changes(12, vec![Change::Removed("a".to_owned())]),
         seconds(2),
@@ -183,7 +189,12 @@
         content: Some(member("ledger")),
     };
     let mut view = ViewState::default();
-    view.on_listing(Kind::Members, listing(5, vec![entry]), seconds(1), seconds(1));
+    view.on_listing(
+        Kind::Members,
+        listing(5, vec![entry]),
+        seconds(1),
+        seconds(1),
+    );
     let gone = changes(9, vec![Change::Removed("m1".to_owned())]);
     view.on_changes(Kind::Members, gone, seconds(10), seconds(10));
     assert_eq!(view.members("ledger", seconds(11)).len(), 1);
