--- a/crates/daemon/tests/event_catalogue.rs
+++ b/crates/daemon/tests/event_catalogue.rs
@@ -18,9 +18,10 @@
 
 fn numbers_in_code(root: &Path) -> BTreeSet<u32> {
     let mut files = Vec::new();
-    for name in ["core", "client", "daemon", "ctl", "bench"] {
+    for name in ["core", "client", "daemon", "ctl", "bench", "gateway"] {
         sources(&root.join("crates").join(name).join("src"), &mut files);
     }
+    sources(&root.join("platform/src"), &mut files);
     let mut numbers = BTreeSet::new();
     for file in files {
         let text = fs::read_to_string(&file).expect("source file");
--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::front::remote;
 use crate::front::transaction::OpenChannel;
+use crate::logs;
 use crate::member::channel;
 use crate::member::channel::ChannelHandle;
 use crate::model::error_code::ErrorCode;
@@ -116,6 +117,10 @@
         tried.count += 1;
         match outcome {
             Ok(answer) => {
+                if logs::sampled(&opening.job.id) {
+                    let (id, attempts) = (text(&opening.job.id), tried.count);
+                    tracing::info!(event = 644, %id, member, host, attempts, "member answered");
+                }
                 let channel = OpenChannel {
                     handle,
                     member,
@@ -128,13 +133,8 @@
                 if !again || clock::now() >= deadline {
                     return Err(error);
                 }
-                tracing::debug!(
-                    event = 643,
-                    member,
-                    host,
-                    ?error,
-                    "statement tried elsewhere"
-                );
+                let (id, code, cause) = (text(&opening.job.id), error.code, error.cause);
+                tracing::info!(event = 643, %id, member, host, ?code, ?cause, "tried elsewhere");
                 if error.cause == Cause::Primary {
                     tokio::time::sleep(PRIMARY_PAUSE).await;
                 }
@@ -143,6 +143,10 @@
     }
 }
 
+fn text(id: &[u8]) -> std::borrow::Cow<'_, str> {
+    String::from_utf8_lossy(id)
+}
+
 async fn send<P: Platform>(
     node: &Rc<Node<P>>,
     handle: &ChannelHandle,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,13 +7,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dropshot::HttpServer;
 use tokio::net::TcpListener;
 
 use crate::clock;
 use crate::duty::watch_primary;
 use crate::front::listener;
+use crate::log_limit;
 use crate::mesh::server;
 use crate::metrics::Registry;
+use crate::metrics_server;
 use crate::model::kind::Kind;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -39,6 +42,7 @@
 pub struct Gateway<P: Platform> {
     node: Rc<Node<P>>,
     ready: Arc<AtomicBool>,
+    _metrics: HttpServer<Arc<Registry>>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -48,6 +52,7 @@
         let hosts = listen(settings.mesh).await?;
         let node = Node::<P>::new(settings, store);
         let ready = Arc::new(AtomicBool::new(false));
+        let metrics = metrics_server::bind(node.settings.metrics, node.metrics.registry())?;
         for kind in Kind::ALL {
             tokio::task::spawn_local(follower::follow(node.clone(), kind));
         }
@@ -59,7 +64,11 @@
         tokio::task::spawn_local(listener::serve(node.clone(), clients));
         tokio::task::spawn_local(watch_primary::run(node.clone()));
         tokio::task::spawn_local(renew_ready(node.clone(), ready.clone()));
-        Ok(Self { node, ready })
+        Ok(Self {
+            node,
+            ready,
+            _metrics: metrics,
+        })
     }
 
     /// Whether the host takes new client connections; renewed while the gateway runs.
@@ -67,10 +76,6 @@
         self.ready.clone()
     }
 
-    pub fn metrics(&self) -> Arc<Registry> {
-        self.node.metrics.registry()
-    }
-
     /// Takes no new clients, lets transactions end, and gives the registration back.
     pub async fn stop(self) {
         let started = clock::now();
@@ -92,7 +97,14 @@
         }
         self.unregister().await;
         let left = (self.node.sessions.get(), self.node.channels.get());
-        tracing::info!(event = 609, sessions = left.0, channels = left.1, "stopped");
+        let lines = log_limit::dropped();
+        tracing::info!(
+            event = 609,
+            sessions = left.0,
+            channels = left.1,
+            lines,
+            "stopped"
+        );
     }
 
     async fn unregister(&self) {
--- /dev/null
+++ b/crates/gateway/src/log_limit.rs
@@ -0,0 +1,88 @@
+//! Bounds the number of log lines of each event.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use magnoliahatch_core::amount::Amount;
+use magnoliahatch_core::bucket::Bucket;
+use tracing::Event;
+use tracing::Metadata;
+use tracing::field::Field;
+use tracing::field::Visit;
+use tracing_subscriber::layer::Context;
+use tracing_subscriber::layer::Filter;
+
+use crate::clock;
+
+/// Lines of one event each second. With the burst, a storm of refusals stays under 1 MB a minute
+/// at about 300 bytes a line.
+const LINES_PER_SECOND: f64 = 8.0;
+/// Lines of one event that may come at once.
+const LINES_AT_ONCE: f64 = 30.0;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines left out since the process started.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Lets each event number through at a bounded rate.
+#[derive(Debug, Default)]
+pub struct LogLimit {
+    buckets: Mutex<BTreeMap<u64, Bucket>>,
+}
+
+impl LogLimit {
+    /// Whether a line of this event may be written now.
+    pub fn admit(&self, number: u64, now: Duration) -> bool {
+        let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        let bucket = buckets.entry(number).or_insert_with(|| {
+            let filled = now.saturating_sub(Duration::from_secs(60));
+            let mut bucket = Bucket::empty(filled);
+            bucket.resize(Amount::new(LINES_PER_SECOND, LINES_AT_ONCE), filled);
+            bucket
+        });
+        bucket.take(now)
+    }
+}
+
+impl<S> Filter<S> for LogLimit {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let mut number = EventNumber(0);
+        event.record(&mut number);
+        let admitted = self.admit(number.0, clock::now());
+        if !admitted {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        admitted
+    }
+}
+
+/// Finds the number of an event among its fields.
+struct EventNumber(u64);
+
+impl Visit for EventNumber {
+    fn record_i64(&mut self, field: &Field, value: i64) {
+        if field.name() == "event" {
+            self.0 = value.unsigned_abs();
+        }
+    }
+
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        if field.name() == "event" {
+            self.0 = value;
+        }
+    }
+
+    fn record_debug(&mut self, _: &Field, _: &dyn fmt::Debug) {}
+}
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::logs;
 use crate::member::connection::Answered;
 use crate::member::connection::prepared_name;
 use crate::member::connection_error::ConnectionError;
@@ -229,6 +230,7 @@
 
     async fn execute(&mut self, job: Job) -> Outcome {
         let outcome = self.try_execute(&job).await;
+        self.log(&job, &outcome);
         let ended = self.target.transaction.is_none() || matches!(job.work, Work::Commit);
         self.done = self.done || ended || outcome.is_err();
         if self.done && !self.open {
@@ -237,6 +239,24 @@
         outcome
     }
 
+    /// Logs the position that the member had to have, and what came of the statement.
+    fn log(&self, job: &Job, outcome: &Outcome) {
+        let id = String::from_utf8_lossy(&job.id);
+        let member = &self.target.member;
+        let after = self.after.map(|p| p.to_string()).unwrap_or_default();
+        match outcome {
+            Ok(answer) if logs::sampled(&job.id) => {
+                let position = answer.position.map(|p| p.to_string()).unwrap_or_default();
+                tracing::info!(event = 631, %id, member, after, position, "statement ran");
+            }
+            Ok(_) => {}
+            Err(error) => {
+                let (code, cause) = (error.code, error.cause);
+                tracing::info!(event = 632, %id, member, after, ?code, ?cause, "statement failed");
+            }
+        }
+    }
+
     async fn try_execute(&mut self, job: &Job) -> Outcome {
         let start = clock::now();
         let until = start + job.timeout;
