Finish running statements before a planned stop ends the process

Cause: the stop waited for channels on its own connections, not for its clients' statements that ran on other hosts' connections, and closed sessions right after an answer, when the next request was on its way.

--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -40,9 +40,9 @@
 
 /// A client that has not named its route within this time is disconnected.
 const START_LIMIT: Duration = Duration::from_secs(10);
-/// At a stop, a session without a transaction is closed after this silence; one whose client is
-/// active is closed after its next answer.
-const STOP_SILENCE: Duration = Duration::from_millis(1500);
+/// At a stop, a session without a transaction is closed after this silence. A client that has just
+/// had an answer is likely to send its next request, which a close would cut off.
+const STOP_SILENCE: Duration = Duration::from_millis(300);
 /// Organisation of sessions without a key, on routes that allow it.
 const ANONYMOUS: &str = "-";
 
@@ -134,13 +134,14 @@
             };
             match request? {
                 Request::Close => return Ok(()),
+                Request::Query { .. } if self.transaction.is_none() && self.node.is_closing() => {
+                    // Said before the close, so that the client knows that it did not run.
+                    return self.error(wire, ErrorCode::Busy, Some(Cause::Stop)).await;
+                }
                 Request::Query { id, statement } => self.answer(wire, id, statement).await?,
                 Request::Start { .. } => self.error(wire, ErrorCode::Malformed, None).await?,
                 Request::Invalid(code) => self.error(wire, code, None).await?,
             }
-            if *stopping.borrow() && self.transaction.is_none() {
-                return Ok(());
-            }
         }
     }
 
@@ -151,7 +152,10 @@
         statement: Statement,
     ) -> Result<(), WireError> {
         let started = clock::now();
+        let running = self.node.running.clone();
+        running.set(running.get() + 1);
         let result = self.statement(&id, statement).await;
+        running.set(running.get() - 1);
         match result {
             Ok(Some(answer)) => {
                 for row in answer.rows {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,11 +28,13 @@
 
 /// Interval at which the readiness flag is renewed.
 const READY_INTERVAL: Duration = Duration::from_millis(50);
-/// Part of the grace that open transactions have after a stop signal; the rest is for the end of
-/// what other hosts run here.
+/// Part of the grace in which clients are still served; after it no operation begins here.
+const SERVE_PART: f64 = 0.4;
+/// Part of the grace that open transactions have after a stop signal.
 const SESSION_PART: f64 = 0.5;
-/// Part of the grace after which the process ends in any case.
-const STOP_PART: f64 = 0.75;
+/// Part of the grace after which the process ends in any case; until then it waits for statements
+/// that are running.
+const STOP_PART: f64 = 0.8;
 /// Interval at which a stop looks for remaining sessions.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 /// Time that the balancer needs to notice that this host is not ready.
@@ -83,18 +85,21 @@
         self.node.stopping.send_replace(true);
         self.ready.store(false, Ordering::Relaxed);
         self.node.on_view_changed();
-        let sessions = started + grace.mul_f64(SESSION_PART);
-        while clock::now() < sessions {
-            let noticed = clock::now().saturating_sub(started) >= NOTICE_TIME;
-            if noticed && self.node.sessions.get() == 0 {
-                break;
-            }
-            tokio::time::sleep(STOP_INTERVAL).await;
-        }
-        let end = started + grace.mul_f64(STOP_PART);
-        while clock::now() < end && self.node.channels.get() > 0 {
-            tokio::time::sleep(STOP_INTERVAL).await;
-        }
+        let node = &self.node;
+        let noticed = || clock::now().saturating_sub(started) >= NOTICE_TIME;
+        wait_until(started + grace.mul_f64(SERVE_PART), || {
+            noticed() && node.sessions.get() == 0
+        })
+        .await;
+        node.set_closing();
+        wait_until(started + grace.mul_f64(SESSION_PART), || {
+            node.sessions.get() == 0
+        })
+        .await;
+        wait_until(started + grace.mul_f64(STOP_PART), || {
+            node.running.get() == 0 && node.channels.get() == 0
+        })
+        .await;
         self.unregister().await;
         let left = (self.node.sessions.get(), self.node.channels.get());
         let lines = log_limit::dropped();
@@ -125,6 +130,12 @@
     }
 }
 
+async fn wait_until(end: Duration, done: impl Fn() -> bool) {
+    while clock::now() < end && !done() {
+        tokio::time::sleep(STOP_INTERVAL).await;
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -46,8 +46,10 @@
     Stale,
     /// The statement exceeded its time limit.
     Deadline,
-    /// The transaction was idle for too long, or the host stops.
+    /// The transaction was idle for too long.
     Idle,
+    /// The host stops.
+    Stop,
 }
 
 /// What became of a job.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -83,8 +83,11 @@
     pub loads: MemberLoads,
     pub stopping: watch::Sender<bool>,
     pub sessions: Cell<u32>,
+    /// Statements of clients that are not answered yet.
+    pub running: Rc<Cell<u32>>,
     /// Channels that run on this host's connections.
     pub channels: Cell<u32>,
+    closing: Cell<bool>,
     primaries: Rc<PrimaryUse>,
     floors: RefCell<BTreeMap<String, ReadFloor>>,
     fetching: RefCell<BTreeMap<String, watch::Receiver<bool>>>,
@@ -112,7 +115,9 @@
             loads: MemberLoads::default(),
             stopping: watch::channel(false).0,
             sessions: Cell::new(0),
+            running: Rc::default(),
             channels: Cell::new(0),
+            closing: Cell::new(false),
             primaries: Rc::default(),
             floors: RefCell::default(),
             fetching: RefCell::default(),
@@ -153,6 +158,15 @@
         *self.stopping.borrow()
     }
 
+    /// Whether a stop has come so far that no further operation begins here.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    pub fn set_closing(&self) {
+        self.closing.set(true);
+    }
+
     /// Whether the configuration is recent enough to trust a key.
     pub fn keys_trusted(&self) -> bool {
         let age = self.view.borrow().age(&[Kind::Configuration], clock::now());
