Test whole gateways against stand-ins; let a leaving host serve its own clients where it is the last

The stop test found that a host that is leaving had no home for any member when no other host was left: its clients got BUSY during the grace.

--- a/crates/gateway/src/front/remote.rs
+++ b/crates/gateway/src/front/remote.rs
@@ -37,7 +37,7 @@
             let call = Call::Run {
                 channel,
                 target,
-                job,
+                job: Box::new(job),
             };
             let answer = node.mesh.call(&host, call, limit).await;
             sent |= !matches!(answer, Err(CallError::Unreachable | CallError::Ended));
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -287,22 +287,23 @@
 
     async fn run_work(&mut self, id: &Bytes, work: Work) -> Result<Answer, Failure> {
         let organisation = self.organisation()?;
-        let open = match &self.transaction {
-            Some(t) => Some((t.read_only, t.route.clone(), t.channel.is_some())),
-            None => None,
-        };
-        let route = match &open {
-            Some((_, route, _)) => route.clone(),
+        let read_only = self.transaction.as_ref().map(|t| t.read_only);
+        let begun = self
+            .transaction
+            .as_ref()
+            .is_some_and(|t| t.channel.is_some());
+        let route = match &self.transaction {
+            Some(transaction) => transaction.route.clone(),
             None => Rc::new(self.route()?),
         };
-        let durable = matches!(work, Work::Commit) || (open.is_none() && work.writes());
+        let durable = matches!(work, Work::Commit) || (read_only.is_none() && work.writes());
         let job = Job {
             id: id.clone(),
             work,
             values: self.values.clone(),
             timeout: route.timeout,
         };
-        let answer = if let Some((_, _, true)) = open {
+        let answer = if begun {
             self.next_job(job).await?
         } else {
             if organisation != ANONYMOUS && !self.node.quota.take(&self.node, &organisation).await {
@@ -311,7 +312,7 @@
             let opening = Opening {
                 route: &route,
                 organisation: &organisation,
-                transaction: open.as_ref().map(|o| o.0),
+                transaction: read_only,
                 own: self.own,
                 job,
             };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -49,9 +49,12 @@
 
 impl<P: Platform> Gateway<P> {
     /// Binds the sockets and starts all tasks on the current `LocalSet`.
-    pub async fn bind(settings: Settings, store: P::Store) -> Result<Self, StartError> {
+    pub async fn bind(mut settings: Settings, store: P::Store) -> Result<Self, StartError> {
         let clients = listen(settings.listen).await?;
         let hosts = listen(settings.mesh).await?;
+        // The registration names the bound port, also if the settings leave it open.
+        settings.mesh = address(&hosts, settings.mesh)?;
+        settings.listen = address(&clients, settings.listen)?;
         let node = Node::<P>::new(settings, store);
         let ready = Arc::new(AtomicBool::new(false));
         let metrics = metrics_server::bind(node.settings.metrics, node.metrics.registry())?;
@@ -78,6 +81,11 @@
         self.ready.clone()
     }
 
+    /// Where clients connect.
+    pub fn addr(&self) -> SocketAddr {
+        self.node.settings.listen
+    }
+
     /// Takes no new clients, lets transactions end, and gives the registration back.
     pub async fn stop(self) {
         let started = clock::now();
@@ -130,6 +138,12 @@
     }
 }
 
+fn address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
+    listener
+        .local_addr()
+        .map_err(|source| StartError::Listen { address, source })
+}
+
 async fn wait_until(end: Duration, done: impl Fn() -> bool) {
     while clock::now() < end && !done() {
         tokio::time::sleep(STOP_INTERVAL).await;
--- a/crates/gateway/src/member/pool_table.rs
+++ b/crates/gateway/src/member/pool_table.rs
@@ -10,9 +10,12 @@
 use crate::member::pool::Pool;
 use crate::platform::Platform;
 
+/// Pools with the start time of their member.
+type Pools<P> = BTreeMap<MemberId, (u64, Rc<Pool<P>>)>;
+
 /// Pools by member; one is made when it is first needed.
 pub struct PoolTable<P: Platform> {
-    pools: RefCell<BTreeMap<MemberId, (u64, Rc<Pool<P>>)>>,
+    pools: RefCell<Pools<P>>,
 }
 
 impl<P: Platform> Default for PoolTable<P> {
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -40,7 +40,7 @@
     Run {
         channel: ChannelId,
         target: Option<Target>,
-        job: Job,
+        job: Box<Job>,
     },
     /// Ends a channel; an open transaction is rolled back. Has no answer.
     End {
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -100,7 +100,7 @@
             if let Some(target) = target {
                 channels.insert(channel, channel::spawn(node.clone(), target));
             }
-            let sent = channels.get(&channel).map(|c| c.send(job));
+            let sent = channels.get(&channel).map(|c| c.send(*job));
             let answers = answers.clone();
             tokio::task::spawn_local(async move {
                 let outcome = match sent {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -229,7 +229,9 @@
             .filter(|c| usable(&c.host))
             .collect();
         let region = self.settings.region(&data_centre);
-        homes::home(member, &data_centre, region, &hosts).cloned()
+        let home = homes::home(member, &data_centre, region, &hosts).cloned();
+        // Where no other host is left, a leaving host still serves its own clients.
+        home.or_else(|| Some(self.settings.host.clone()).filter(usable))
     }
 
     /// Pool of a member that may be used now.
