Send a last message before a stop closes a session, and wait for the client to close

Cause: a request that crossed the close of an idle session got a reset and no answer; in the PostgreSQL daemon the last message could be lost in the same way, because the socket was closed with the crossing request unread. The client now finds a refusal that says that nothing ran.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -68,7 +68,7 @@
     pub(super) postponed: Option<Refusal>,
     config: watch::Receiver<Arc<magnoliahatch_client::config_view::ConfigView>>,
     stop: watch::Receiver<bool>,
-    _work: drains::Work,
+    work: Option<drains::Work>,
     /// When the session noticed that its host leaves service.
     leaving: Option<Instant>,
 }
@@ -105,7 +105,7 @@
             postponed: None,
             config,
             stop,
-            _work: work,
+            work: Some(work),
             leaving: None,
         }
     }
@@ -136,14 +136,10 @@
             let deadline = Instant::now() + GOODBYE;
             let metrics = &self.context.metrics;
             metrics.refusal(&self.identity.organisation, refusal.code());
-            if self
-                .client
-                .feed(refusal.frame(true), deadline)
-                .await
-                .is_ok()
-            {
-                let _ = self.client.flush(deadline).await;
-            }
+            // Neither the member nor a drain waits for a caller that does not close.
+            self.lease = None;
+            self.work = None;
+            self.client.close(refusal.frame(true), deadline).await;
         }
     }
 
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -9,6 +9,7 @@
 use futures::StreamExt;
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::position::LogPosition;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
@@ -43,6 +44,8 @@
 /// At a stop, a session without a transaction is closed after this silence. A client that has just
 /// had an answer is likely to send its next request, which a close would cut off.
 const STOP_SILENCE: Duration = Duration::from_millis(300);
+/// Time that a client has to close after the last message of a stop.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
 /// Organisation of sessions without a key, on routes that allow it.
 const ANONYMOUS: &str = "-";
 
@@ -80,6 +83,24 @@
     wire.send(Reply::Error { code, text }).await
 }
 
+/// Ends a session of a host that stops. A request that crosses this message on its way has not run,
+/// as the message says. Closing at once would reset the connection if one has arrived, and the
+/// message could be lost.
+async fn goodbye<P: Platform>(wire: &mut Wire<P>) -> Result<(), WireError> {
+    let code = ErrorCode::Busy;
+    let text = Bytes::from_static(b"the host stops");
+    let closing = async {
+        wire.send(Reply::Error { code, text }).await?;
+        wire.get_mut().shutdown().await?;
+        while wire.next().await.is_some_and(|read| read.is_ok()) {}
+        Ok(())
+    };
+    // A client that does not close is left behind.
+    tokio::time::timeout(CLOSE_LIMIT, closing)
+        .await
+        .unwrap_or(Ok(()))
+}
+
 fn ready(state: TransactionState) -> Reply {
     Reply::Ready {
         state,
@@ -123,7 +144,7 @@
                 request = wire.next() => request,
                 () = rest(silence) => {
                     if self.transaction.is_none() {
-                        return Ok(());
+                        return goodbye::<P>(wire).await;
                     }
                     continue;
                 }
@@ -135,8 +156,7 @@
             match request? {
                 Request::Close => return Ok(()),
                 Request::Query { .. } if self.transaction.is_none() && self.node.is_closing() => {
-                    // Said before the close, so that the client knows that it did not run.
-                    return self.error(wire, ErrorCode::Busy, Some(Cause::Stop)).await;
+                    return goodbye::<P>(wire).await;
                 }
                 Request::Query { id, statement } => self.answer(wire, id, statement).await?,
                 Request::Start { .. } => self.error(wire, ErrorCode::Malformed, None).await?,
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -48,8 +48,6 @@
     Deadline,
     /// The transaction was idle for too long.
     Idle,
-    /// The host stops.
-    Stop,
 }
 
 /// What became of a job.
