Ask all hosts at once whether they reach a silent primary; answer from traffic where there is some

Cause: a silent primary was replaced about 3 s after its crash, since its home, the watcher and the others were asked one after the other, and each question took a slot of the primary even under traffic.

--- a/crates/gateway/src/duty/watch_primary.rs
+++ b/crates/gateway/src/duty/watch_primary.rs
@@ -4,6 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::future::Either;
+use futures::stream::FuturesUnordered;
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::Revision;
 use magnoliahatch_core::rendezvous;
@@ -24,10 +27,10 @@
 
 /// Interval of the watch; a small part of the time after which a primary counts as failed.
 const INTERVAL: Duration = Duration::from_millis(200);
-/// An answer younger than this shows that the primary is reached.
-const ANSWER_AGE: Duration = Duration::from_millis(600);
-/// Limit of a question to another host, which includes a question to the primary.
-const REACH_LIMIT: Duration = Duration::from_millis(900);
+/// Limit of the question to the home of the primary. It answers at once while there is traffic.
+const HOME_LIMIT: Duration = Duration::from_millis(300);
+/// Limit of a question to all hosts, which includes a question to the primary.
+const REACH_LIMIT: Duration = Duration::from_millis(700);
 /// A change whose holder may still run is taken over after the bound on the view's age and this,
 /// which is above the time that an undisturbed change takes.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2500);
@@ -101,7 +104,7 @@
     }
     *seen_change = None;
     let seen = observe(node, service, &record).await;
-    if let Some(reason) = succession.observe(&record.primary, seen, clock::now()) {
+    if let Some(reason) = succession.observe(&record.primary, seen, now, clock::now()) {
         let primary = &record.primary;
         tracing::warn!(
             event = 650,
@@ -155,34 +158,40 @@
 
 /// Whether this host or another one has had an answer from the primary.
 async fn reachable<P: Platform>(node: &Rc<Node<P>>, service: &str, primary: &str) -> bool {
-    if let Some(pool) = node.pools.find(primary) {
-        let recent = |at| clock::now().saturating_sub(at) < ANSWER_AGE;
-        if pool.answered().is_some_and(recent) {
-            return true;
-        }
-    }
     let home = node.home(primary, |_| true);
     let own = &node.settings.host;
-    let others = node.live_hosts();
-    // The home answers without a question to the primary while there is traffic.
-    if let Some(home) = home.filter(|h| h != own)
-        && ask(node, &home, service).await
-    {
+    // The home knows from its traffic, so that usually one call is enough.
+    let first = match &home {
+        Some(home) if home != own => ask(node, home, service, HOME_LIMIT).await,
+        _ => node.reaches_primary(service).await,
+    };
+    if first {
         return true;
     }
-    if node.status(primary).await.is_some() {
-        return true;
+    let others: Vec<HostId> = node.live_hosts().into_iter().filter(|h| h != own).collect();
+    let asked = others.iter().map(|h| ask(node, h, service, REACH_LIMIT));
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    let local = node.reaches_primary(service);
+    let remote = async {
+        while let Some(reached) = answers.next().await {
+            if reached {
+                return true;
+            }
+        }
+        false
+    };
+    futures::pin_mut!(local, remote);
+    match futures::future::select(local, remote).await {
+        Either::Left((reached, rest)) => reached || rest.await,
+        Either::Right((reached, rest)) => reached || rest.await,
     }
-    let asked = others.iter().filter(|h| *h != own);
-    let answers = futures::future::join_all(asked.map(|h| ask(node, h, service))).await;
-    answers.into_iter().any(|reached| reached)
 }
 
-async fn ask<P: Platform>(node: &Rc<Node<P>>, host: &str, service: &str) -> bool {
+async fn ask<P: Platform>(node: &Rc<Node<P>>, host: &str, service: &str, limit: Duration) -> bool {
     let call = Call::Reach {
         service: service.to_owned(),
     };
-    let answer = node.mesh.call(host, call, REACH_LIMIT).await;
+    let answer = node.mesh.call(host, call, limit).await;
     matches!(answer, Ok(Return::Reach(true)))
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -50,6 +50,8 @@
 const LEAVING_LIMIT: Duration = Duration::from_millis(3500);
 /// An observation of the primary younger than this is passed on without asking the primary.
 const FRESH_OBSERVATION: Duration = Duration::from_millis(250);
+/// An answer younger than this shows that a member is reached.
+const ANSWER_AGE: Duration = Duration::from_millis(600);
 /// Limit of a question about a primary's position or state.
 const STATUS_LIMIT: Duration = Duration::from_millis(500);
 /// Limit of a call for a position, which includes a question to the primary.
@@ -454,16 +456,18 @@
         }
     }
 
-    /// Whether the recorded primary of a service answers this host.
+    /// Whether the recorded primary of a service answers this host. Without traffic it is asked.
     pub async fn reaches_primary(self: &Rc<Self>, service: &str) -> bool {
         let primary = {
             let view = self.view.borrow();
             view.primary(service).map(|(r, _)| r.primary.clone())
         };
-        match primary {
-            Some(primary) => self.status(&primary).await.is_some(),
-            None => false,
-        }
+        let Some(primary) = primary else {
+            return false;
+        };
+        let recent = |at| clock::now().saturating_sub(at) < ANSWER_AGE;
+        let pool = self.pools.find(&primary);
+        pool.and_then(|p| p.answered()).is_some_and(recent) || self.status(&primary).await.is_some()
     }
 
     /// Hosts that may watch the store for all, in order, as far as this host reaches them.
--- a/crates/gateway/src/policy/succession.rs
+++ b/crates/gateway/src/policy/succession.rs
@@ -38,8 +38,14 @@
 }
 
 impl Succession {
-    /// Whether the primary is to be replaced now.
-    pub fn observe(&mut self, primary: &str, seen: Observation, now: Duration) -> Option<Reason> {
+    /// Whether the primary is to be replaced now, after an observation that began at `began`.
+    pub fn observe(
+        &mut self,
+        primary: &str,
+        seen: Observation,
+        began: Duration,
+        now: Duration,
+    ) -> Option<Reason> {
         if self.member != primary {
             *self = Self {
                 member: primary.to_owned(),
@@ -51,7 +57,7 @@
                 *start = None;
                 return Duration::ZERO;
             }
-            now.saturating_sub(*start.get_or_insert(now))
+            now.saturating_sub(*start.get_or_insert(began))
         };
         let missing = since(&mut self.missing, !seen.registered);
         let silent = since(&mut self.silent, !seen.reachable);
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -304,15 +304,24 @@
             reachable: step % 3 != 0,
             ..Observation::default()
         };
-        assert_eq!(succession.observe("m", seen, millis(step * 200)), None);
+        assert_eq!(
+            succession.observe("m", seen, millis(step * 200), millis(step * 200)),
+            None
+        );
     }
     let lapsed = Observation {
         registered: false,
         ..healthy()
     };
-    assert_eq!(succession.observe("m", lapsed, millis(3000)), None);
-    assert_eq!(succession.observe("m", lapsed, millis(5500)), None);
-    let gone = succession.observe("m", lapsed, millis(5700));
+    assert_eq!(
+        succession.observe("m", lapsed, millis(3000), millis(3000)),
+        None
+    );
+    assert_eq!(
+        succession.observe("m", lapsed, millis(5500), millis(5500)),
+        None
+    );
+    let gone = succession.observe("m", lapsed, millis(5700), millis(5700));
     assert_eq!(gone, Some(Reason::Failed));
 }
 
@@ -325,11 +334,26 @@
             evacuated,
             ..healthy()
         };
-        let reason = Succession::default().observe("m", seen, millis(0));
+        let reason = Succession::default().observe("m", seen, millis(0), millis(0));
         assert_eq!(reason, Some(Reason::Planned));
     }
 }
 
+/// Pattern: a crash that no host hears of. One round in which every host waited in vain is enough.
+#[test]
+fn silence_counts_from_the_begin_of_the_observation() {
+    let silent = Observation {
+        reachable: false,
+        ..healthy()
+    };
+    let mut succession = Succession::default();
+    let early = succession.observe("m", silent, millis(1000), millis(1500));
+    assert_eq!(early, None);
+    let mut succession = Succession::default();
+    let late = succession.observe("m", silent, millis(1000), millis(1750));
+    assert_eq!(late, Some(Reason::Failed));
+}
+
 /// Guards against silence that was counted against the previous primary.
 #[test]
 fn successor_starts_with_a_clean_record() {
@@ -338,9 +362,19 @@
         reachable: false,
         ..healthy()
     };
-    assert_eq!(succession.observe("old", silent, millis(0)), None);
-    assert_eq!(succession.observe("new", silent, millis(900)), None);
-    assert!(succession.observe("new", silent, millis(1700)).is_some());
+    assert_eq!(
+        succession.observe("old", silent, millis(0), millis(0)),
+        None
+    );
+    assert_eq!(
+        succession.observe("new", silent, millis(900), millis(900)),
+        None
+    );
+    assert!(
+        succession
+            .observe("new", silent, millis(1700), millis(1700))
+            .is_some()
+    );
 }
 
 /// Guards against a withdrawn key that is still accepted at its bound.
