--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -9,6 +9,7 @@
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::ids::Term;
 use magnoliahatch_core::position::LogPosition;
 
 use crate::clock;
@@ -68,6 +69,12 @@
     }
 }
 
+/// Makes the old primary a replica, if it can be reached.
+async fn demote<P: Platform>(node: Rc<Node<P>>, service: String, old: MemberId, term: Term) {
+    let reached = node.control(&old, Command::Demote(term)).await.is_some();
+    tracing::info!(event = 656, service, old, reached, "old primary demoted");
+}
+
 /// Why a change of primary ended without success.
 #[derive(Debug, thiserror::Error)]
 enum ChangeError {
@@ -116,17 +123,11 @@
             return Err(ChangeError::NoCandidate);
         }
         let term = self.effect(&candidate).await?;
-        let demoted = self.node.control(&old, Command::Demote(term)).await;
-        let reached = demoted.is_some();
-        tracing::info!(
-            event = 656,
-            service = self.service,
-            old,
-            reached,
-            "old primary demoted"
-        );
         self.record.primary = candidate;
         self.write(None, false).await?;
+        // No host uses the old primary any longer, so nothing waits for its answer.
+        let demotion = demote(self.node.clone(), self.service.to_owned(), old, term);
+        tokio::task::spawn_local(demotion);
         Ok(())
     }
 
@@ -226,7 +227,12 @@
 
     /// The member that has received most. A leaving primary's last writes are waited for.
     async fn candidate(&self, old: &str) -> Option<MemberId> {
-        let goal = self.node.status(old).await.map(|s| s.received);
+        let failing = self.node.pools.find(old).is_some_and(|p| p.failing());
+        let goal = if failing {
+            None
+        } else {
+            self.node.status(old).await.map(|s| s.received)
+        };
         let until = clock::now() + CATCH_UP_LIMIT;
         loop {
             let members: Vec<MemberId> = {
@@ -285,7 +291,7 @@
     }
 
     /// Waits until the candidate leads and returns its term.
-    async fn effect(&self, candidate: &str) -> Result<u64, ChangeError> {
+    async fn effect(&self, candidate: &str) -> Result<Term, ChangeError> {
         let until = clock::now() + EFFECT_LIMIT;
         while clock::now() < until {
             if let Some(status) = self.node.status(candidate).await
