--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -13,6 +13,7 @@
 use magnoliahatch_core::position::LogPosition;
 
 use crate::clock;
+use crate::member::control;
 use crate::mesh::call_error::CallError;
 use crate::mesh::frame::Call;
 use crate::model::command::Command;
@@ -71,7 +72,9 @@
 
 /// Makes the old primary a replica, if it can be reached.
 async fn demote<P: Platform>(node: Rc<Node<P>>, service: String, old: MemberId, term: Term) {
-    let reached = node.control(&old, Command::Demote(term)).await.is_some();
+    let reached = control::run(&node, &old, Command::Demote(term))
+        .await
+        .is_some();
     tracing::info!(event = 656, service, old, reached, "old primary demoted");
 }
 
@@ -231,7 +234,7 @@
         let goal = if failing {
             None
         } else {
-            self.node.status(old).await.map(|s| s.received)
+            control::status(self.node, old).await.map(|s| s.received)
         };
         let until = clock::now() + CATCH_UP_LIMIT;
         loop {
@@ -249,7 +252,7 @@
                     .map(|(id, _)| id.clone())
                     .collect()
             };
-            let asked = members.iter().map(|m| self.node.status(m));
+            let asked = members.iter().map(|m| control::status(self.node, m));
             let answers = futures::future::join_all(asked).await;
             let best: Option<(LogPosition, MemberId)> = answers
                 .into_iter()
@@ -294,7 +297,7 @@
     async fn effect(&self, candidate: &str) -> Result<Term, ChangeError> {
         let until = clock::now() + EFFECT_LIMIT;
         while clock::now() < until {
-            if let Some(status) = self.node.status(candidate).await
+            if let Some(status) = control::status(self.node, candidate).await
                 && status.primary
             {
                 return Ok(status.received.term);
--- a/crates/gateway/src/duty/watch_primary.rs
+++ b/crates/gateway/src/duty/watch_primary.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::duty::promoter;
+use crate::member::control;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Return;
 use crate::model::kind::Kind;
@@ -163,7 +164,7 @@
     // The home knows from its traffic, so that usually one call is enough.
     let first = match &home {
         Some(home) if home != own => ask(node, home, service, HOME_LIMIT).await,
-        _ => node.reaches_primary(service).await,
+        _ => control::reaches_primary(node, service).await,
     };
     if first {
         return true;
@@ -171,7 +172,7 @@
     let others: Vec<HostId> = node.live_hosts().into_iter().filter(|h| h != own).collect();
     let asked = others.iter().map(|h| ask(node, h, service, REACH_LIMIT));
     let mut answers: FuturesUnordered<_> = asked.collect();
-    let local = node.reaches_primary(service);
+    let local = control::reaches_primary(node, service);
     let remote = async {
         while let Some(reached) = answers.next().await {
             if reached {
@@ -213,7 +214,7 @@
     };
     let mut best = None;
     for member in claims {
-        if let Some(status) = node.status(&member).await
+        if let Some(status) = control::status(node, &member).await
             && status.primary
         {
             best = best.max(Some((status.received.term, member)));
--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -15,7 +15,8 @@
 use crate::front::transaction::OpenChannel;
 use crate::logs;
 use crate::member::channel;
-use crate::member::channel::ChannelHandle;
+use crate::member::channel_handle;
+use crate::member::channel_handle::ChannelHandle;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Consistency;
 use crate::model::job::Job;
@@ -160,7 +161,7 @@
         ..job.clone()
     };
     node.loads.on_sent(member);
-    let outcome = channel::outcome(handle.send(job)).await;
+    let outcome = channel_handle::outcome(handle.send(job)).await;
     node.loads
         .on_answered(member, clock::now().saturating_sub(sent));
     outcome
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod dispatch;
 pub mod listener;
 pub mod member_loads;
+pub mod messages;
 pub mod remote;
 pub mod session;
 pub mod transaction;
--- a/crates/gateway/src/front/remote.rs
+++ b/crates/gateway/src/front/remote.rs
@@ -5,7 +5,7 @@
 
 use magnoliahatch_core::ids::HostId;
 
-use crate::member::channel::ChannelHandle;
+use crate::member::channel_handle::ChannelHandle;
 use crate::mesh::call_error::CallError;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Return;
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -9,15 +9,18 @@
 use futures::StreamExt;
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::position::LogPosition;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
 use crate::clock;
 use crate::front::dispatch;
 use crate::front::dispatch::Opening;
+use crate::front::messages::Wire;
+use crate::front::messages::goodbye;
+use crate::front::messages::ready;
+use crate::front::messages::refuse;
 use crate::front::transaction::Transaction;
-use crate::member::channel;
+use crate::member::channel_handle;
 use crate::model::configuration::Configuration;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Job;
@@ -44,13 +47,9 @@
 /// At a stop, a session without a transaction is closed after this silence. A client that has just
 /// had an answer is likely to send its next request, which a close would cut off.
 const STOP_SILENCE: Duration = Duration::from_millis(300);
-/// Time that a client has to close after the last message of a stop.
-const CLOSE_LIMIT: Duration = Duration::from_millis(500);
 /// Organisation of sessions without a key, on routes that allow it.
 const ANONYMOUS: &str = "-";
 
-type Wire<P> = Framed<TcpStream, <P as Platform>::ClientCodec>;
-
 /// Serves a client until it leaves.
 pub async fn run<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
     node.sessions.set(node.sessions.get() + 1);
@@ -78,36 +77,6 @@
     session.run(&mut wire).await
 }
 
-async fn refuse<P: Platform>(wire: &mut Wire<P>, code: ErrorCode) -> Result<(), WireError> {
-    let text = Bytes::from_static(b"session refused");
-    wire.send(Reply::Error { code, text }).await
-}
-
-/// Ends a session of a host that stops. A request that crosses this message on its way has not run,
-/// as the message says. Closing at once would reset the connection if one has arrived, and the
-/// message could be lost.
-async fn goodbye<P: Platform>(wire: &mut Wire<P>) -> Result<(), WireError> {
-    let code = ErrorCode::Busy;
-    let text = Bytes::from_static(b"the host stops");
-    let closing = async {
-        wire.send(Reply::Error { code, text }).await?;
-        wire.get_mut().shutdown().await?;
-        while wire.next().await.is_some_and(|read| read.is_ok()) {}
-        Ok(())
-    };
-    // A client that does not close is left behind.
-    tokio::time::timeout(CLOSE_LIMIT, closing)
-        .await
-        .unwrap_or(Ok(()))
-}
-
-fn ready(state: TransactionState) -> Reply {
-    Reply::Ready {
-        state,
-        position: None,
-    }
-}
-
 struct Session<P: Platform> {
     node: Rc<Node<P>>,
     database: String,
@@ -356,7 +325,7 @@
         let Some(channel) = channel else {
             return Err(failure(ErrorCode::Aborted, Cause::Idle));
         };
-        let outcome = channel::outcome(channel.handle.send(job)).await;
+        let outcome = channel_handle::outcome(channel.handle.send(job)).await;
         if outcome.is_err()
             && let Some(transaction) = &mut self.transaction
         {
--- a/crates/gateway/src/front/transaction.rs
+++ b/crates/gateway/src/front/transaction.rs
@@ -5,7 +5,7 @@
 
 use magnoliahatch_core::ids::MemberId;
 
-use crate::member::channel::ChannelHandle;
+use crate::member::channel_handle::ChannelHandle;
 use crate::model::route::Route;
 
 /// Opened by BEGIN; the member's side begins with the first statement that needs one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod duty;
+pub mod floor_keeper;
 pub mod front;
 pub mod gateway;
 pub mod log_limit;
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -5,10 +5,11 @@
 
 use magnoliahatch_core::position::LogPosition;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 
 use crate::clock;
 use crate::logs;
+use crate::member::channel_handle::ChannelHandle;
+use crate::member::channel_handle::Entry;
 use crate::member::connection::Answered;
 use crate::member::connection::prepared_name;
 use crate::member::connection_error::ConnectionError;
@@ -30,44 +31,9 @@
 use crate::node::Node;
 use crate::platform::Platform;
 
-/// Statements that may wait on a channel; callers send one at a time.
-const QUEUE_LENGTH: usize = 2;
 /// Limit for the rollback of a transaction, which needs no slot.
 const ROLLBACK_LIMIT: Duration = Duration::from_millis(400);
 
-type Entry = (Job, oneshot::Sender<Outcome>);
-
-/// Sends jobs to a channel. Dropping it ends the channel.
-#[derive(Debug, Clone)]
-pub struct ChannelHandle {
-    jobs: mpsc::Sender<Entry>,
-}
-
-impl ChannelHandle {
-    /// A channel whose jobs are received by the caller.
-    pub fn pair() -> (Self, mpsc::Receiver<Entry>) {
-        let (jobs, receiver) = mpsc::channel(QUEUE_LENGTH);
-        (Self { jobs }, receiver)
-    }
-
-    /// Hands a job over; the outcome follows.
-    pub fn send(&self, job: Job) -> oneshot::Receiver<Outcome> {
-        let (sender, receiver) = oneshot::channel();
-        if let Err(error) = self.jobs.try_send((job, sender)) {
-            let (_, sender) = error.into_inner();
-            // The receiver is held just below.
-            let _ = sender.send(Err(failure(ErrorCode::Aborted, Cause::Idle)));
-        }
-        receiver
-    }
-}
-
-/// Waits for the outcome of a job.
-pub async fn outcome(receiver: oneshot::Receiver<Outcome>) -> Outcome {
-    let ended = || Err(failure(ErrorCode::Unknown, Cause::Connection));
-    receiver.await.unwrap_or_else(|_| ended())
-}
-
 /// Starts a channel on this host's connections.
 pub fn spawn<P: Platform>(node: Rc<Node<P>>, target: Target) -> ChannelHandle {
     let (handle, jobs) = ChannelHandle::pair();
@@ -142,7 +108,7 @@
         let after = match target.consistency {
             Consistency::Primary => None,
             Consistency::Bounded { age, own } => {
-                let floor = node.floor(&target.service, age).await;
+                let floor = node.floors.covering(&node, &target.service, age).await;
                 let Some(floor) = floor else {
                     return Err(failure(ErrorCode::Lagging, Cause::Floor));
                 };
@@ -302,8 +268,8 @@
             && valid
             && let Some(position) = answered.position
         {
-            self.node
-                .on_primary_position(&self.target.service, sent, position);
+            let floors = &self.node.floors;
+            floors.record(&self.target.service, sent, position);
         }
         match answered.result {
             Ok(Some(proof)) if valid || !durable => Ok(Answer {
--- /dev/null
+++ b/crates/gateway/src/member/control.rs
@@ -0,0 +1,64 @@
+//! Commands of the proxy's own at members.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock;
+use crate::model::command::Command;
+use crate::model::member_status::MemberStatus;
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Limit of a question about a primary's position or state.
+const STATUS_LIMIT: Duration = Duration::from_millis(500);
+/// An answer younger than this shows that a member is reached.
+const ANSWER_AGE: Duration = Duration::from_millis(600);
+/// Name under which this host asks members about themselves.
+const STATUS_USER: &str = "-";
+
+/// Asks a member about itself.
+pub async fn status<P: Platform>(node: &Rc<Node<P>>, member: &str) -> Option<MemberStatus> {
+    let rows = run(node, member, Command::Status).await?;
+    P::member_status(rows.first()?)
+}
+
+/// Runs a command at a member and returns its rows; none if it was refused or not answered.
+pub async fn run<P: Platform>(
+    node: &Rc<Node<P>>,
+    member: &str,
+    command: Command,
+) -> Option<Vec<Bytes>> {
+    // Failures of the pool and of the connection are logged there.
+    let pool = node.pool(member).ok()?;
+    let until = clock::now() + STATUS_LIMIT;
+    let mut lease = pool.connection(STATUS_USER, 0, until).await.ok()?;
+    let sent = clock::now();
+    match lease.run(command, STATUS_LIMIT).await {
+        Ok(answered) => {
+            pool.on_answer();
+            lease.give_back();
+            answered.result.ok()?;
+            Some(answered.rows)
+        }
+        Err(error) => {
+            pool.on_silence(&error, sent);
+            None
+        }
+    }
+}
+
+/// Whether the recorded primary of a service answers this host. Without traffic it is asked.
+pub async fn reaches_primary<P: Platform>(node: &Rc<Node<P>>, service: &str) -> bool {
+    let primary = {
+        let view = node.view.borrow();
+        view.primary(service).map(|(r, _)| r.primary.clone())
+    };
+    let Some(primary) = primary else {
+        return false;
+    };
+    let recent = |at| clock::now().saturating_sub(at) < ANSWER_AGE;
+    let pool = node.pools.find(&primary);
+    pool.and_then(|p| p.answered()).is_some_and(recent) || status(node, &primary).await.is_some()
+}
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -1,8 +1,10 @@
 //! Connections to the members of services.
 
 pub mod channel;
+pub mod channel_handle;
 pub mod connection;
 pub mod connection_error;
+pub mod control;
 pub mod lease;
 pub mod pool;
 pub mod pool_table;
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -9,7 +9,9 @@
 use tokio::sync::mpsc;
 
 use crate::member::channel;
-use crate::member::channel::ChannelHandle;
+use crate::member::channel_handle;
+use crate::member::channel_handle::ChannelHandle;
+use crate::member::control;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::ChannelId;
 use crate::mesh::frame::FORMAT;
@@ -104,7 +106,7 @@
             let answers = answers.clone();
             tokio::task::spawn_local(async move {
                 let outcome = match sent {
-                    Some(receiver) => channel::outcome(receiver).await,
+                    Some(receiver) => channel_handle::outcome(receiver).await,
                     None => Err(failure(ErrorCode::Aborted, Cause::Idle)),
                 };
                 answer(&answers, id, Return::Outcome(outcome));
@@ -128,13 +130,13 @@
             organisation,
             count,
         } => Return::Tokens(node.quota.grant(node, from, &organisation, count)),
-        Call::Floor { service } => Return::Floor(node.observe_primary(&service).await),
-        Call::View { known, hold } => node.on_view_call(from, &known, hold).await,
+        Call::Floor { service } => Return::Floor(node.floors.observe(node, &service).await),
+        Call::View { known, hold } => node.reports.report(node, from, &known, hold).await,
         Call::Quiesce { service, revision } => {
             node.quiesce(&service, revision).await;
             Return::Done
         }
-        Call::Reach { service } => Return::Reach(node.reaches_primary(&service).await),
+        Call::Reach { service } => Return::Reach(control::reaches_primary(node, &service).await),
         Call::Ping | Call::Run { .. } | Call::End { .. } => Return::Done,
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,37 +10,31 @@
 use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
-use magnoliahatch_core::position::LogPosition;
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::floor_keeper::FloorKeeper;
 use crate::front::member_loads::MemberLoads;
 use crate::member::pool::Endpoint;
 use crate::member::pool::Pool;
 use crate::member::pool_table::PoolTable;
-use crate::mesh::frame::Call;
-use crate::mesh::frame::KindReport;
-use crate::mesh::frame::Return;
 use crate::mesh::mesh_handle::MeshHandle;
 use crate::metrics::Metrics;
-use crate::model::command::Command;
 use crate::model::configuration::Configuration;
 use crate::model::error_code::ErrorCode;
 use crate::model::kind::Kind;
-use crate::model::member_status::MemberStatus;
-use crate::model::object::Content;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
 use crate::platform::Platform;
 use crate::policy::homes;
 use crate::policy::homes::Candidate;
-use crate::policy::read_floor::ReadFloor;
 use crate::policy::readers;
 use crate::primary_use::PrimaryUse;
 use crate::primary_use::UseGuard;
 use crate::quota_keeper::QuotaKeeper;
 use crate::settings::Settings;
+use crate::view::view_reports::ViewReports;
 use crate::view::view_state::ViewState;
 
 /// Part of a member's connections kept for hosts that cannot reach its home.
@@ -48,25 +42,11 @@
 /// A leaving or evacuated primary is used this long while a successor is promoted; both bounds of
 /// the deployment are above it.
 const LEAVING_LIMIT: Duration = Duration::from_millis(3500);
-/// An observation of the primary younger than this is passed on without asking the primary.
-const FRESH_OBSERVATION: Duration = Duration::from_millis(250);
-/// An answer younger than this shows that a member is reached.
-const ANSWER_AGE: Duration = Duration::from_millis(600);
-/// Limit of a question about a primary's position or state.
-const STATUS_LIMIT: Duration = Duration::from_millis(500);
-/// Limit of a call for a position, which includes a question to the primary.
-const FLOOR_LIMIT: Duration = Duration::from_millis(700);
 /// Time for statements in flight to end before a primary is given up.
 const QUIESCE_LIMIT: Duration = Duration::from_millis(300);
-/// A host that has been asked for news within this time goes on reading the store.
-const READER_MEMORY: Duration = Duration::from_millis(1500);
 /// A host whose list of hosts is older uses no primary. A change of primary waits this long for a
 /// host that was removed from the list and may not know it.
 pub const HOSTS_AGE: Duration = Duration::from_secs(8);
-/// Name under which this host asks members about themselves.
-const STATUS_USER: &str = "-";
-/// Routes and keys of a configuration that hosts still pass on to each other, about 20 KB.
-const LARGE_ENTRIES: usize = 200;
 /// Limit of a transaction's rest when no configuration is known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(3);
 
@@ -83,6 +63,8 @@
     pub quota: QuotaKeeper,
     pub metrics: Metrics,
     pub loads: MemberLoads,
+    pub floors: FloorKeeper,
+    pub reports: ViewReports,
     pub stopping: watch::Sender<bool>,
     pub sessions: Cell<u32>,
     /// Statements of clients that are not answered yet.
@@ -91,13 +73,7 @@
     pub channels: Cell<u32>,
     closing: Cell<bool>,
     primaries: Rc<PrimaryUse>,
-    floors: RefCell<BTreeMap<String, ReadFloor>>,
-    fetching: RefCell<BTreeMap<String, watch::Receiver<bool>>>,
     leaving: RefCell<BTreeMap<MemberId, Duration>>,
-    /// When each host last asked for this host's view.
-    asked: RefCell<BTreeMap<HostId, Duration>>,
-    /// When a host last asked for news of this host's view.
-    relied: Cell<Option<Duration>>,
 }
 
 impl<P: Platform> Node<P> {
@@ -115,17 +91,15 @@
             quota: QuotaKeeper::default(),
             metrics: Metrics::open(),
             loads: MemberLoads::default(),
+            floors: FloorKeeper::default(),
+            reports: ViewReports::default(),
             stopping: watch::channel(false).0,
             sessions: Cell::new(0),
             running: Rc::default(),
             channels: Cell::new(0),
             closing: Cell::new(false),
             primaries: Rc::default(),
-            floors: RefCell::default(),
-            fetching: RefCell::default(),
             leaving: RefCell::default(),
-            asked: RefCell::default(),
-            relied: Cell::new(None),
         })
     }
 
@@ -193,15 +167,10 @@
         self.candidates().into_iter().map(|c| c.host).collect()
     }
 
-    /// Registered hosts that this host reaches, and all of them.
-    pub fn host_counts(&self) -> (u32, u32) {
-        let view = self.view.borrow();
-        let hosts = view.hosts();
-        let reached = hosts
-            .iter()
-            .filter(|(id, _)| **id == self.settings.host || !self.mesh.is_down(id))
-            .count();
-        (reached as u32, hosts.len() as u32)
+    /// Number of registered hosts, at least one.
+    pub fn host_count(&self) -> u32 {
+        let hosts = self.view.borrow().hosts().len();
+        u32::try_from(hosts).unwrap_or(u32::MAX).max(1)
     }
 
     /// Hosts that may hold the connections of members.
@@ -331,145 +300,6 @@
         );
     }
 
-    /// Records a position that the primary reported to a request sent at `at`.
-    pub fn on_primary_position(&self, service: &str, at: Duration, position: LogPosition) {
-        let mut floors = self.floors.borrow_mut();
-        let floor = floors.entry(service.to_owned()).or_default();
-        floor.record(at, position);
-    }
-
-    /// Position that covers all commits of a service acknowledged longer than `age` ago.
-    pub async fn floor(self: &Rc<Self>, service: &str, age: Duration) -> Option<LogPosition> {
-        let known = |age: Duration| {
-            let floors = self.floors.borrow();
-            floors.get(service)?.covering(age, clock::now())
-        };
-        // Refreshed in the background from half of the age on, so that reads rarely wait for it.
-        if let Some(position) = known(age / 2) {
-            return Some(position);
-        }
-        let fetch = self.fetch_floor(service);
-        if let Some(position) = known(age) {
-            return Some(position);
-        }
-        let mut fetch = fetch;
-        // The sender is dropped when the fetch has ended.
-        let _ = fetch.wait_for(|done| *done).await;
-        known(age)
-    }
-
-    /// Asks the host that uses the primary for a position, once for all callers.
-    fn fetch_floor(self: &Rc<Self>, service: &str) -> watch::Receiver<bool> {
-        if let Some(running) = self.fetching.borrow().get(service) {
-            return running.clone();
-        }
-        let (done, receiver) = watch::channel(false);
-        self.fetching
-            .borrow_mut()
-            .insert(service.to_owned(), receiver.clone());
-        let node = self.clone();
-        let service = service.to_owned();
-        tokio::task::spawn_local(async move {
-            node.ask_floor(&service).await;
-            node.fetching.borrow_mut().remove(&service);
-            let _ = done.send(true);
-        });
-        receiver
-    }
-
-    async fn ask_floor(self: &Rc<Self>, service: &str) {
-        let asked = clock::now();
-        let Some(primary) = self.primary(service) else {
-            return;
-        };
-        let Some(home) = self.home(&primary, |_| true) else {
-            return;
-        };
-        let seen = if home == self.settings.host {
-            self.observe_primary(service).await
-        } else {
-            let call = Call::Floor {
-                service: service.to_owned(),
-            };
-            match self.mesh.call(&home, call, FLOOR_LIMIT).await {
-                Ok(Return::Floor(seen)) => seen,
-                answer => {
-                    tracing::debug!(event = 641, home, ?answer, "no position of the primary");
-                    None
-                }
-            }
-        };
-        if let Some((age, position)) = seen {
-            // The age was counted after the question left, so this time is not too late.
-            self.on_primary_position(service, asked.saturating_sub(age), position);
-        }
-    }
-
-    /// A recent position of the primary with its age; asks the primary if none is known.
-    pub async fn observe_primary(
-        self: &Rc<Self>,
-        service: &str,
-    ) -> Option<(Duration, LogPosition)> {
-        let primary = self.primary(service)?;
-        let latest = || {
-            let floors = self.floors.borrow();
-            floors.get(service)?.latest(clock::now())
-        };
-        if let Some(seen) = latest().filter(|(age, _)| *age <= FRESH_OBSERVATION) {
-            return Some(seen);
-        }
-        let sent = clock::now();
-        let status = self.status(&primary).await?;
-        if status.primary && self.may_use(service, &primary) {
-            self.on_primary_position(service, sent, status.received);
-        }
-        latest()
-    }
-
-    /// Asks a member about itself.
-    pub async fn status(self: &Rc<Self>, member: &str) -> Option<MemberStatus> {
-        let answered = self.control(member, Command::Status).await?;
-        P::member_status(answered.first()?)
-    }
-
-    /// Runs a command of the proxy's own at a member and returns its rows.
-    pub async fn control(
-        self: &Rc<Self>,
-        member: &str,
-        command: Command,
-    ) -> Option<Vec<bytes::Bytes>> {
-        let pool = self.pool(member).ok()?;
-        let until = clock::now() + STATUS_LIMIT;
-        let mut lease = pool.connection(STATUS_USER, 0, until).await.ok()?;
-        let sent = clock::now();
-        match lease.run(command, STATUS_LIMIT).await {
-            Ok(answered) => {
-                pool.on_answer();
-                lease.give_back();
-                answered.result.ok()?;
-                Some(answered.rows)
-            }
-            Err(error) => {
-                pool.on_silence(&error, sent);
-                None
-            }
-        }
-    }
-
-    /// Whether the recorded primary of a service answers this host. Without traffic it is asked.
-    pub async fn reaches_primary(self: &Rc<Self>, service: &str) -> bool {
-        let primary = {
-            let view = self.view.borrow();
-            view.primary(service).map(|(r, _)| r.primary.clone())
-        };
-        let Some(primary) = primary else {
-            return false;
-        };
-        let recent = |at| clock::now().saturating_sub(at) < ANSWER_AGE;
-        let pool = self.pools.find(&primary);
-        pool.and_then(|p| p.answered()).is_some_and(recent) || self.status(&primary).await.is_some()
-    }
-
     /// Hosts that may watch the store for all, in order, as far as this host reaches them.
     pub fn readers(&self) -> Vec<HostId> {
         readers::candidates(&self.live_hosts())
@@ -477,9 +307,7 @@
 
     /// Whether other hosts rely on this host's view.
     pub fn is_reader(&self) -> bool {
-        let now = clock::now();
-        let recent = |at| now.saturating_sub(at) < READER_MEMORY;
-        self.relied.get().is_some_and(recent) || self.readers().first() == Some(&self.settings.host)
+        self.reports.is_relied_on() || self.readers().first() == Some(&self.settings.host)
     }
 
     /// Registered hosts that are not leaving, reached or not; the same on all hosts.
@@ -491,62 +319,4 @@
             .map(|(id, _)| id.clone())
             .collect()
     }
-
-    /// When a host last asked for this host's view.
-    pub fn last_asked(&self, host: &str) -> Option<Duration> {
-        self.asked.borrow().get(host).copied()
-    }
-
-    /// Reports this host's view to another host; waits up to `hold` for something it lacks.
-    pub async fn on_view_call(
-        &self,
-        from: &str,
-        known: &[(Kind, Revision)],
-        hold: Duration,
-    ) -> Return {
-        let start = clock::now();
-        self.asked.borrow_mut().insert(from.to_owned(), start);
-        if !hold.is_zero() {
-            self.relied.set(Some(start));
-        }
-        let lacks = || {
-            let view = self.view.borrow();
-            let newer = |(kind, content): &(Kind, Revision)| {
-                view.kind(*kind).is_some_and(|k| k.content > *content)
-            };
-            known.iter().any(newer)
-        };
-        let mut changed = self.changed.subscribe();
-        let news = async {
-            while !lacks() {
-                if changed.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        // Without news the answer still tells the age.
-        let _ = tokio::time::timeout(hold, news).await;
-        let now = clock::now();
-        let view = self.view.borrow();
-        let report = |(kind, content): &(Kind, Revision)| {
-            let mut report = view.kind(*kind)?.report(*kind, *content, now)?;
-            if *kind == Kind::Configuration && large(&report) {
-                report.objects.clear();
-                report.complete = false;
-            }
-            Some(report)
-        };
-        Return::View {
-            held: now.saturating_sub(start),
-            reports: known.iter().filter_map(report).collect(),
-        }
-    }
-}
-
-/// Whether a configuration is better read from the store than sent by a host to all others.
-fn large(report: &KindReport) -> bool {
-    report.objects.iter().any(|o| match &o.content {
-        Some(Content::Configuration(c)) => c.routes.len() + c.keys.len() > LARGE_ENTRIES,
-        _ => false,
-    })
 }
--- a/crates/gateway/src/policy/admission.rs
+++ b/crates/gateway/src/policy/admission.rs
@@ -45,10 +45,6 @@
         }
     }
 
-    pub fn set_capacity(&mut self, capacity: u32) {
-        self.capacity = capacity;
-    }
-
     /// Asks for a slot before `until`. A transaction that has begun enters at priority 0, since
     /// it holds a connection while it waits.
     pub fn enter(&mut self, priority: u32, until: Duration, now: Duration) -> Entry {
--- a/crates/gateway/src/quota_keeper.rs
+++ b/crates/gateway/src/quota_keeper.rs
@@ -54,7 +54,7 @@
         count: u32,
     ) -> u32 {
         let now = clock::now();
-        let (_, all) = node.host_counts();
+        let all = node.host_count();
         let share = {
             let mut callers = self.callers.borrow_mut();
             let callers = callers.entry(organisation.to_owned()).or_default();
@@ -82,8 +82,8 @@
                     Ok(Return::Tokens(granted)) => granted,
                     answer => {
                         tracing::debug!(event = 640, owner, ?answer, "rate owner did not answer");
-                        let (_, all) = node.host_counts();
-                        self.take_local(node, organisation, 1.0 / f64::from(all.max(1)), 1)
+                        let part = 1.0 / f64::from(node.host_count());
+                        self.take_local(node, organisation, part, 1)
                     }
                 }
             }
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -81,24 +81,12 @@
     kind: Kind,
     listed: &mut bool,
 ) -> Result<(), StoreError> {
-    let sent = clock::now();
     if !*listed {
-        let listing = node.store.list(kind).await?;
-        unreadable(
-            kind,
-            listing
-                .objects
-                .iter()
-                .filter(|o| o.content.is_none())
-                .count(),
-        );
-        node.view
-            .borrow_mut()
-            .on_listing(kind, listing, sent, clock::now());
+        list(node, kind).await?;
         *listed = true;
-        node.on_view_changed();
         return Ok(());
     }
+    let sent = clock::now();
     let from = node.view.borrow().revision(kind);
     let wait = if STAMPED.contains(&kind) {
         STAMPED_WAIT
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -3,4 +3,5 @@
 pub mod follower;
 pub mod kind_view;
 pub mod registry;
+pub mod view_reports;
 pub mod view_state;
--- a/crates/gateway/src/view/registry.rs
+++ b/crates/gateway/src/view/registry.rs
@@ -59,7 +59,7 @@
 ) {
     let now = clock::now();
     let recent = |at| now.saturating_sub(at) < SILENCE;
-    if node.last_asked(host).is_some_and(recent) {
+    if node.reports.last_asked(host).is_some_and(recent) {
         silent.remove(host);
         return;
     }
