--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -90,6 +90,26 @@
                 .subcommand(Command::new("create").about("Create it at set-up")),
         )
         .subcommand(Command::new("status").about("Show what is in force on each seated host"))
+        .subcommand(explain())
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Show the log lines of one request, from the logs of several hosts")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("The request's id, as the client sent it"),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of the hosts, as JSON lines"),
+        )
 }
 
 fn object(
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod contract;
 mod database;
+pub(crate) mod explain;
 mod fleet;
 mod key;
 mod placement;
@@ -39,6 +40,7 @@
         }
         Request::SecretCreate => fleet::create_secret(client).await,
         Request::Status => fleet::status(client).await,
+        Request::Explain { id, files } => explain::run(id, files),
     }
 }
 
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,5 +1,6 @@
 //! Failures of a command.
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 use magnoliahatch_client::admin::client_error::AdminClientError;
@@ -29,6 +30,11 @@
         limit: Duration,
         behind: String,
     },
+    #[error("{}: cannot read the log: {source}", path.display())]
+    Log {
+        path: PathBuf,
+        source: std::io::Error,
+    },
     #[error("cannot write the output: {0}")]
     Output(#[from] std::io::Error),
     #[error("cannot encode the output: {0}")]
@@ -41,7 +47,9 @@
         match self {
             Self::Settings(_) | Self::NothingToCheck | Self::NoCommand => exit::USAGE,
             Self::Admin(error) => error.exit_code(),
-            Self::NotInForce { .. } | Self::Output(_) | Self::Encode(_) => exit::FAILURE,
+            Self::NotInForce { .. } | Self::Log { .. } | Self::Output(_) | Self::Encode(_) => {
+                exit::FAILURE
+            }
         }
     }
 }
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -78,6 +78,15 @@
             member: text(matches, "member"),
         },
         "status" => Request::Status,
+        "explain" => Request::Explain {
+            id: text(matches, "id").unwrap_or_default(),
+            files: matches
+                .get_many("files")
+                .into_iter()
+                .flatten()
+                .cloned()
+                .collect(),
+        },
         _ => {
             let (verb, matches) = matches.subcommand().ok_or(CtlError::NoCommand)?;
             match area {
--- a/crates/ctl/src/request.rs
+++ b/crates/ctl/src/request.rs
@@ -1,5 +1,7 @@
 //! Parsed commands.
 
+use std::path::PathBuf;
+
 use magnoliahatch_client::admin::subject::Subject;
 use magnoliahatch_client::objects::access::Access;
 use magnoliahatch_client::objects::member::Member;
@@ -41,6 +43,11 @@
     },
     SecretCreate,
     Status,
+    /// Show the log lines of one request; needs no daemon.
+    Explain {
+        id: String,
+        files: Vec<PathBuf>,
+    },
 }
 
 /// What to do with an object that has fields.
