--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -16,6 +16,7 @@
 use crate::member::control;
 use crate::mesh::call_error::CallError;
 use crate::mesh::frame::Call;
+use crate::mesh::frame::Return;
 use crate::model::command::Command;
 use crate::model::kind::Kind;
 use crate::model::object::Content;
@@ -26,6 +27,10 @@
 use crate::platform::Platform;
 use crate::platform::PromotionOrder;
 use crate::platform::Store;
+use crate::policy::successor;
+use crate::policy::successor::Contender;
+use crate::policy::successor::Demand;
+use crate::policy::successor::Successor;
 use crate::promote_error::PromoteError;
 use crate::store_error::StoreError;
 
@@ -59,7 +64,7 @@
         service,
         record,
         revision,
-        until: started + HOLD_LIMIT + node.settings.bounds.primary_view,
+        until: started + HOLD_LIMIT + node.bounds.get().primary_view,
     };
     let result = change.run(candidate, takeover).await;
     let took = clock::now().saturating_sub(started).as_millis() as u64;
@@ -102,16 +107,15 @@
         let old = self.record.primary.clone();
         self.write(known.clone(), true).await?;
         let written = clock::now();
-        self.stop_use(written).await;
+        let mut demand = self.stop_use(written).await;
         if takeover {
             // The previous holder may still be about to send its order.
-            let wait =
-                (written + self.node.settings.bounds.primary_view).saturating_sub(clock::now());
+            let wait = (written + self.node.bounds.get().primary_view).saturating_sub(clock::now());
             tokio::time::sleep(wait).await;
         }
         let candidate = match known {
             Some(member) => member,
-            None => match self.candidate(&old).await {
+            None => match self.candidate(&old, &mut demand).await {
                 Some(member) => member,
                 None => {
                     self.restore(&old).await?;
@@ -191,8 +195,8 @@
     }
 
     /// Ends when no host uses the primary: each has confirmed or ended, or its view has become
-    /// too old.
-    async fn stop_use(&self, written: Duration) {
+    /// too old. Returns what they acknowledged.
+    async fn stop_use(&self, written: Duration) -> Demand {
         let hosts: Vec<HostId> = {
             let view = self.node.view.borrow();
             let own = &self.node.settings.host;
@@ -201,24 +205,49 @@
         };
         let remote = futures::future::join_all(hosts.iter().map(|h| self.ask(h, written)));
         let local = self.node.quiesce(self.service, self.revision);
-        futures::join!(remote, local);
-        // A host whose registration was removed a moment ago may still use an older view.
-        let departed = self.node.view.borrow().departed();
-        if let Some(departed) = departed {
-            let lapse = departed + HOSTS_AGE;
+        let (remote, local) = futures::join!(remote, local);
+        // A host whose registration was removed a moment ago may still use an older view, until
+        // its list of hosts or its copy of the record is too old.
+        let departed = self.node.view.borrow().departed().map(|at| at + HOSTS_AGE);
+        let departed = departed.filter(|lapse| *lapse > clock::now());
+        if let Some(lapse) = departed {
+            let lapse = lapse.min(self.lapse(written));
             tokio::time::sleep(lapse.saturating_sub(clock::now())).await;
         }
+        Demand {
+            primary: None,
+            synchronous: self.synchronous(),
+            acknowledged: remote.iter().copied().flatten().fold(local, Option::max),
+            complete: departed.is_none() && remote.iter().all(Option::is_some),
+        }
+    }
+
+    /// When a host that has not seen this change can no longer use the primary.
+    fn lapse(&self, written: Duration) -> Duration {
+        written + self.node.bounds.get().primary_view
+    }
+
+    fn synchronous(&self) -> bool {
+        let configuration = self.node.configuration();
+        let limits = configuration.and_then(|c| c.services.get(self.service).copied());
+        limits.is_some_and(|l| l.synchronous)
     }
 
-    async fn ask(&self, host: &str, written: Duration) {
-        let lapse = written + self.node.settings.bounds.primary_view;
+    /// Asks a host to stop using the primary until it confirms, or cannot use it any more. Returns
+    /// its last acknowledged commit; none if the host did not tell.
+    async fn ask(&self, host: &str, written: Duration) -> Option<Option<LogPosition>> {
+        let lapse = self.lapse(written);
         while clock::now() < lapse {
             let call = Call::Quiesce {
                 service: self.service.to_owned(),
                 revision: self.revision,
             };
             match self.node.mesh.call(host, call, QUIESCE_LIMIT).await {
-                Ok(_) | Err(CallError::Ended) => return,
+                Ok(Return::Quiesced(acknowledged)) => return Some(acknowledged),
+                Err(CallError::Ended) => return None,
+                Ok(other) => {
+                    tracing::warn!(event = 658, host, ?other, "host has not confirmed");
+                }
                 Err(error) => {
                     tracing::debug!(event = 658, host, %error, "host has not confirmed");
                 }
@@ -226,49 +255,67 @@
             let left = lapse.saturating_sub(clock::now());
             tokio::time::sleep(RETRY_PAUSE.min(left)).await;
         }
+        None
     }
 
-    /// The member that has received most. A leaving primary's last writes are waited for.
-    async fn candidate(&self, old: &str) -> Option<MemberId> {
+    /// The member that has received most. A leaving primary's last writes are waited for; where no
+    /// commit may be lost, a member that is certain to hold all of them.
+    async fn candidate(&self, old: &str, demand: &mut Demand) -> Option<MemberId> {
         let failing = self.node.pools.find(old).is_some_and(|p| p.failing());
-        let goal = if failing {
-            None
-        } else {
-            control::status(self.node, old).await.map(|s| s.received)
-        };
+        if !failing {
+            let status = control::status(self.node, old).await;
+            demand.primary = status.map(|s| s.received);
+        }
         let until = clock::now() + CATCH_UP_LIMIT;
         loop {
-            let members: Vec<MemberId> = {
-                let view = self.node.view.borrow();
-                let members = view.members(self.service, clock::now());
-                members
-                    .into_iter()
-                    .filter(|(id, m)| {
-                        *id != old
-                            && !m.draining
-                            && view.registered(id).is_some()
-                            && !view.evacuated(&m.data_centre)
-                    })
-                    .map(|(id, _)| id.clone())
-                    .collect()
-            };
-            let asked = members.iter().map(|m| control::status(self.node, m));
-            let answers = futures::future::join_all(asked).await;
-            let best: Option<(LogPosition, MemberId)> = answers
-                .into_iter()
-                .zip(members)
-                .filter_map(|(status, member)| Some((status?.received, member)))
-                .max();
-            let reached = best
-                .as_ref()
-                .is_some_and(|(p, _)| goal.is_none_or(|g| *p >= g));
-            if reached || clock::now() >= until {
-                return best.map(|(_, member)| member);
+            let contenders = self.contenders(old, demand.synchronous).await;
+            let found = successor::choose(&contenders, demand);
+            let late = clock::now() >= until;
+            match found {
+                Successor::Ready(member) => return Some(member),
+                Successor::Behind(member) if late => return Some(member),
+                Successor::Unsafe if late => {
+                    let service = self.service;
+                    tracing::warn!(event = 662, service, ?demand, "no member can be promoted");
+                    return None;
+                }
+                Successor::Behind(_) | Successor::Unsafe => {
+                    tokio::time::sleep(POLL_PAUSE).await;
+                }
             }
-            tokio::time::sleep(POLL_PAUSE).await;
         }
     }
 
+    /// All members but the old primary, with what they have received. One that cannot be promoted
+    /// is asked only where its log matters.
+    async fn contenders(&self, old: &str, ask_all: bool) -> Vec<Contender> {
+        let mut contenders: Vec<Contender> = {
+            let view = self.node.view.borrow();
+            let members = view.members(self.service, clock::now());
+            let others = members.into_iter().filter(|(id, _)| *id != old);
+            others
+                .map(|(id, entry)| Contender {
+                    member: id.clone(),
+                    eligible: !entry.draining
+                        && view.registered(id).is_some()
+                        && !view.evacuated(&entry.data_centre),
+                    received: None,
+                })
+                .collect()
+        };
+        let asked = contenders.iter().map(async |c| {
+            if !c.eligible && !ask_all {
+                return None;
+            }
+            control::status(self.node, &c.member).await
+        });
+        let answers = futures::future::join_all(asked).await;
+        for (contender, status) in contenders.iter_mut().zip(answers) {
+            contender.received = status.map(|s| s.received);
+        }
+        contenders
+    }
+
     /// Orders the promotion. False if the member is certainly not promoted.
     async fn promote(&self, candidate: &str) -> Result<bool, ChangeError> {
         let order = PromotionOrder {
--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -26,6 +26,7 @@
 use crate::model::outcome::Failure;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
+use crate::model::region_limit::RegionLimit;
 use crate::model::route::Route;
 use crate::model::route::RouteKind;
 use crate::node::Node;
@@ -47,6 +48,8 @@
     pub transaction: Option<bool>,
     /// Position of the session's own last commit.
     pub own: Option<LogPosition>,
+    /// Where the organisation's statements may run.
+    pub regions: &'a RegionLimit,
     pub job: Job,
 }
 
@@ -60,6 +63,12 @@
         reads && !matches!(self.route.kind, RouteKind::Primary)
     }
 
+    /// Whether the statement may be handled in a region: neither the route nor the organisation is
+    /// limited to others.
+    fn allows(&self, region: &str) -> bool {
+        self.route.regions.allows(region) && self.regions.allows(region)
+    }
+
     fn consistency(&self, primary: bool) -> Consistency {
         let own = self.own;
         match self.route.kind {
@@ -94,7 +103,8 @@
                 continue;
             }
         };
-        let usable = |host: &HostId| !node.loads.avoided(&member, host);
+        let usable =
+            |host: &HostId| !node.loads.avoided(&member, host) && may_forward(node, &opening, host);
         let Some(host) = node.home(&member, usable) else {
             if opening.replica() && tried.members.insert(member) {
                 continue;
@@ -144,6 +154,16 @@
     }
 }
 
+/// Whether a statement may be passed to a host. The host that the client chose is always allowed.
+fn may_forward<P: Platform>(node: &Rc<Node<P>>, opening: &Opening<'_>, host: &HostId) -> bool {
+    if *host == node.settings.host {
+        return true;
+    }
+    let view = node.view.borrow();
+    let entry = view.host(host);
+    entry.is_some_and(|e| opening.allows(node.settings.region(&e.data_centre)))
+}
+
 fn text(id: &[u8]) -> std::borrow::Cow<'_, str> {
     String::from_utf8_lossy(id)
 }
@@ -206,17 +226,22 @@
 ) -> Option<(MemberId, bool)> {
     let service = &opening.route.service;
     let primary = node.primary(service);
+    let view = node.view.borrow();
+    let allowed = |data_centre: &str| opening.allows(node.settings.region(data_centre));
     if !opening.replica() {
-        return primary.map(|member| (member, true));
+        let member = primary?;
+        let entry = view.member(&member, clock::now());
+        let here = entry.is_some_and(|e| allowed(&e.data_centre));
+        return here.then_some((member, true));
     }
-    let view = node.view.borrow();
     let mut members = Vec::new();
     let mut choices = Vec::new();
     for (id, entry) in view.members(service, clock::now()) {
         let is_primary = primary.as_ref() == Some(id);
         let recorded = view.primary(service).is_some_and(|(r, _)| r.primary == *id);
         let leaves = entry.draining || view.evacuated(&entry.data_centre);
-        if tried.members.contains(id) || (leaves && !is_primary) || (recorded && !is_primary) {
+        let passed = tried.members.contains(id) || !allowed(&entry.data_centre);
+        if passed || (leaves && !is_primary) || (recorded && !is_primary) {
             continue;
         }
         let own = &node.settings;
@@ -232,6 +257,7 @@
         choices.push(Choice {
             distance,
             primary: is_primary,
+            cold: view.is_cold(id, clock::now()),
             latency,
             pending,
         });
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -31,6 +31,7 @@
 use crate::model::outcome::Failure;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
+use crate::model::region_limit::RegionLimit;
 use crate::model::reply::Reply;
 use crate::model::request::Request;
 use crate::model::route::Route;
@@ -298,7 +299,11 @@
             if organisation != ANONYMOUS && !self.node.quota.take(&self.node, &organisation).await {
                 return Err(failure(ErrorCode::Busy, Cause::Rate));
             }
+            let configuration = self.configuration()?;
+            let anywhere = RegionLimit::default();
+            let regions = configuration.regions.get(&organisation);
             let opening = Opening {
+                regions: regions.unwrap_or(&anywhere),
                 route: &route,
                 organisation: &organisation,
                 transaction: read_only,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -86,10 +86,24 @@
         self.node.settings.listen
     }
 
+    /// Applies changed settings, as far as they hold without a new start.
+    pub fn reload(&self, changed: &Settings) {
+        let applied = self.node.settings.reloaded(changed);
+        self.node.bounds.set(applied.bounds);
+        let revocation = applied.bounds.revocation.as_millis() as u64;
+        let grace = applied.bounds.grace.as_millis() as u64;
+        // `first_start` differs as soon as the whole system has started once.
+        let restart = Settings {
+            first_start: applied.first_start,
+            ..changed.clone()
+        } != applied;
+        tracing::info!(event = 683, revocation, grace, restart, "settings reloaded");
+    }
+
     /// Takes no new clients, lets transactions end, and gives the registration back.
     pub async fn stop(self) {
         let started = clock::now();
-        let grace = self.node.settings.bounds.grace;
+        let grace = self.node.bounds.get().grace;
         self.node.stopping.send_replace(true);
         self.ready.store(false, Ordering::Relaxed);
         self.node.on_view_changed();
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -233,6 +233,7 @@
         } else {
             self.target.priority + 1
         };
+        self.pool.pace(!self.open, until).await?;
         let slot = self.pool.slot(priority, until).await?;
         let primary = matches!(self.target.consistency, Consistency::Primary);
         if primary && !self.node.may_use(&self.target.service, &self.target.member) {
@@ -271,6 +272,15 @@
             let floors = &self.node.floors;
             floors.record(&self.target.service, sent, position);
         }
+        if durable
+            && primary
+            && valid
+            && answered.result.is_ok()
+            && let Some(position) = answered.position
+        {
+            let primaries = &self.node.primaries;
+            primaries.acknowledge(&self.target.service, position);
+        }
         match answered.result {
             Ok(Some(proof)) if valid || !durable => Ok(Answer {
                 rows: answered.rows,
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -24,6 +24,8 @@
 use crate::policy::admission::Admission;
 use crate::policy::admission::Entry;
 use crate::policy::admission::Ticket;
+use crate::policy::cold_start::ColdStart;
+use crate::policy::cold_start::Pace;
 use crate::policy::connection_plan::Idle;
 use crate::policy::connection_plan::Plan;
 use crate::policy::connection_plan::plan;
@@ -63,6 +65,7 @@
     failed: Cell<Option<Duration>>,
     limited: Cell<Option<Duration>>,
     answered: Cell<Option<Duration>>,
+    cold: RefCell<ColdStart>,
 }
 
 impl<P: Platform> Pool<P> {
@@ -81,6 +84,7 @@
             failed: Cell::new(None),
             limited: Cell::new(None),
             answered: Cell::new(None),
+            cold: RefCell::default(),
         })
     }
 
@@ -89,6 +93,29 @@
         self.limit.set(limit.max(1));
     }
 
+    /// Sets the rate of a cold member, and whether this host is its home; no rate for a warm one.
+    pub fn set_cold(&self, rate: Option<f64>, home: bool) {
+        self.cold.borrow_mut().set(rate, home, clock::now());
+    }
+
+    /// Waits until a statement may be sent to a member that may be cold. A newcomer is refused in
+    /// place of a wait, since another member may be warm.
+    pub async fn pace(&self, newcomer: bool, until: Duration) -> Result<(), Failure> {
+        loop {
+            let now = clock::now();
+            let pace = self.cold.borrow_mut().take(now);
+            match pace {
+                Pace::Send => return Ok(()),
+                Pace::Wait(left) if !newcomer && now + left < until => {
+                    tokio::time::sleep(left).await;
+                }
+                Pace::Wait(_) | Pace::Never => {
+                    return Err(failure(ErrorCode::Busy, Cause::Member));
+                }
+            }
+        }
+    }
+
     /// When the member last answered.
     pub fn answered(&self) -> Option<Duration> {
         self.answered.get()
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -22,7 +22,7 @@
 pub type ChannelId = u64;
 
 /// Version of these messages; a host of another version is refused.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 
 /// First message of a connection, in both directions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,6 +101,8 @@
         reports: Vec<KindReport>,
     },
     Reach(bool),
+    /// The host uses the primary no longer; the last commit that it acknowledged.
+    Quiesced(Option<LogPosition>),
 }
 
 /// A call or an answer with its number.
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -133,8 +133,7 @@
         Call::Floor { service } => Return::Floor(node.floors.observe(node, &service).await),
         Call::View { known, hold } => node.reports.report(node, from, &known, hold).await,
         Call::Quiesce { service, revision } => {
-            node.quiesce(&service, revision).await;
-            Return::Done
+            Return::Quiesced(node.quiesce(&service, revision).await)
         }
         Call::Reach { service } => Return::Reach(control::reaches_primary(node, &service).await),
         Call::Ping | Call::Run { .. } | Call::End { .. } => Return::Done,
--- a/crates/gateway/src/model/configuration.rs
+++ b/crates/gateway/src/model/configuration.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::model::region_limit::RegionLimit;
 use crate::model::route::Route;
 
 /// Rate and burst of an organisation, over all hosts together.
@@ -18,12 +19,14 @@
 }
 
 /// A service and its limits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ServiceLimits {
     /// Connections of all hosts together to one member.
     pub connections: u32,
     /// Whether a commit is acknowledged only once a replica has received it.
     pub synchronous: bool,
+    /// Statements a second that a cold member takes from all hosts together.
+    pub cold_rate: f64,
 }
 
 /// One version of the configuration.
@@ -35,6 +38,8 @@
     pub services: BTreeMap<String, ServiceLimits>,
     pub keys: BTreeMap<String, OrganisationId>,
     pub rates: BTreeMap<OrganisationId, Rate>,
+    /// Organisations whose statements may run in some regions only.
+    pub regions: BTreeMap<OrganisationId, RegionLimit>,
     /// A transaction that rests longer may be ended.
     pub idle: Duration,
 }
--- a/crates/gateway/src/model/member_entry.rs
+++ b/crates/gateway/src/model/member_entry.rs
@@ -1,6 +1,7 @@
 //! A member as it registers itself.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use magnoliahatch_core::ids::DataCentreId;
 use serde::Deserialize;
@@ -19,4 +20,6 @@
     pub primary: bool,
     /// Unix milliseconds of its start; a member may start again under its id.
     pub born: u64,
+    /// How much longer it is slow after its start, counted from when it wrote this entry.
+    pub cold: Duration,
 }
--- a/crates/gateway/src/model/route.rs
+++ b/crates/gateway/src/model/route.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::model::region_limit::RegionLimit;
+
 /// How current the reads of a route must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
@@ -28,4 +30,6 @@
     /// 0 is the most important.
     pub priority: u32,
     pub anonymous: bool,
+    /// Where its statements may run.
+    pub regions: RegionLimit,
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::position::LogPosition;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -27,6 +28,7 @@
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
 use crate::platform::Platform;
+use crate::policy::bounds::Bounds;
 use crate::policy::homes;
 use crate::policy::homes::Candidate;
 use crate::policy::readers;
@@ -53,6 +55,8 @@
 /// One host.
 pub struct Node<P: Platform> {
     pub settings: Settings,
+    /// Renewed when the settings change.
+    pub bounds: Cell<Bounds>,
     pub incarnation: Incarnation,
     pub store: P::Store,
     pub view: RefCell<ViewState>,
@@ -72,7 +76,7 @@
     /// Channels that run on this host's connections.
     pub channels: Cell<u32>,
     closing: Cell<bool>,
-    primaries: Rc<PrimaryUse>,
+    pub primaries: Rc<PrimaryUse>,
     leaving: RefCell<BTreeMap<MemberId, Duration>>,
 }
 
@@ -81,6 +85,7 @@
         let incarnation: Incarnation = rand::random();
         let host = settings.host.clone();
         Rc::new(Self {
+            bounds: Cell::new(settings.bounds),
             settings,
             incarnation,
             store,
@@ -146,7 +151,7 @@
     /// Whether the configuration is recent enough to trust a key.
     pub fn keys_trusted(&self) -> bool {
         let age = self.view.borrow().age(&[Kind::Configuration], clock::now());
-        age.is_some_and(|age| age <= self.settings.bounds.key_trust())
+        age.is_some_and(|age| age <= self.bounds.get().key_trust())
     }
 
     /// Whether this host should get new client connections.
@@ -227,11 +232,14 @@
         let pool = self.pools.get(&endpoint, entry.born);
         let configuration = view.configuration();
         let limits = configuration.and_then(|c| c.services.get(&entry.service).copied());
+        let cold = view.is_cold(member, now);
         drop(view);
         let all = limits.map_or(1, |l| l.connections);
         let reserve = (all / RESERVE_DIVISOR).max(1);
         let own = self.home(member, |_| true).as_ref() == Some(&self.settings.host);
         pool.set_limit(if own { all - reserve.min(all) } else { reserve });
+        let rate = limits.map(|l| l.cold_rate).filter(|r| cold && *r > 0.0);
+        pool.set_cold(rate, own);
         Ok(pool)
     }
 
@@ -250,7 +258,7 @@
         let view = self.view.borrow();
         let now = clock::now();
         let within = |kind, limit| view.age(&[kind], now).is_some_and(|age| age <= limit);
-        let recent = within(Kind::Primaries, self.settings.bounds.primary_view)
+        let recent = within(Kind::Primaries, self.bounds.get().primary_view)
             && within(Kind::Hosts, HOSTS_AGE);
         let registered = view
             .host(&self.settings.host)
@@ -285,8 +293,9 @@
     }
 
     /// Stops using the primary whose record has this revision; statements in flight have a moment
-    /// to end. Later answers to writes are reported as unknown.
-    pub async fn quiesce(&self, service: &str, revision: Revision) {
+    /// to end. Later answers to writes are reported as unknown, so the last acknowledged commit,
+    /// which is returned, stays the last one.
+    pub async fn quiesce(&self, service: &str, revision: Revision) -> Option<LogPosition> {
         self.primaries.block(service, revision);
         self.changed.send_modify(|n| *n += 1);
         let drained = tokio::time::timeout(QUIESCE_LIMIT, self.primaries.drained(service)).await;
@@ -298,6 +307,7 @@
             complete,
             "primary no longer used"
         );
+        self.primaries.acknowledged(service)
     }
 
     /// Hosts that may watch the store for all, in order, as far as this host reaches them.
--- a/crates/gateway/src/policy/bounds.rs
+++ b/crates/gateway/src/policy/bounds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Limits derived from the deployment's contract, read from the settings.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
     /// A withdrawn key must not be used longer than this after its withdrawal was stored.
     pub revocation: Duration,
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod bounds;
 pub mod callers;
+pub mod cold_start;
 pub mod connection_plan;
 pub mod homes;
 pub mod quota;
@@ -10,3 +11,4 @@
 pub mod readers;
 pub mod replica_choice;
 pub mod succession;
+pub mod successor;
--- a/crates/gateway/src/policy/replica_choice.rs
+++ b/crates/gateway/src/policy/replica_choice.rs
@@ -10,6 +10,9 @@
 /// Added for the primary, which alone can run writes.
 const PRIMARY: Duration = Duration::from_millis(25);
 
+/// Added for a member that is still slow after its start.
+const COLD: Duration = Duration::from_millis(250);
+
 /// How far a member is from this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Distance {
@@ -23,6 +26,7 @@
 pub struct Choice {
     pub distance: Distance,
     pub primary: bool,
+    pub cold: bool,
     /// Recent time from request to answer, without the way.
     pub latency: Duration,
     /// Requests of this host that are not answered yet.
@@ -42,7 +46,8 @@
         } else {
             Duration::ZERO
         };
-        way + role + self.latency * (self.pending + 1)
+        let start = if self.cold { COLD } else { Duration::ZERO };
+        way + role + start + self.latency * (self.pending + 1)
     }
 }
 
--- a/crates/gateway/src/primary_use.rs
+++ b/crates/gateway/src/primary_use.rs
@@ -5,13 +5,16 @@
 use std::rc::Rc;
 
 use magnoliahatch_core::ids::Revision;
+use magnoliahatch_core::position::LogPosition;
 use tokio::sync::watch;
 
-/// Channels by service, and the records that this host was asked to stop using.
+/// Channels by service, the records that this host was asked to stop using, and the last commits
+/// that it acknowledged.
 #[derive(Debug, Default)]
 pub struct PrimaryUse {
     counts: RefCell<BTreeMap<String, watch::Sender<u32>>>,
     blocked: RefCell<BTreeMap<String, Revision>>,
+    acknowledged: RefCell<BTreeMap<String, LogPosition>>,
 }
 
 /// One channel's use; ends when dropped.
@@ -42,6 +45,18 @@
         blocked.get(service).is_some_and(|b| revision <= *b)
     }
 
+    /// Records a commit that is about to be acknowledged to a client.
+    pub fn acknowledge(&self, service: &str, position: LogPosition) {
+        let mut acknowledged = self.acknowledged.borrow_mut();
+        let known = acknowledged.entry(service.to_owned()).or_default();
+        *known = (*known).max(position);
+    }
+
+    /// Last commit of a service that this host acknowledged.
+    pub fn acknowledged(&self, service: &str) -> Option<LogPosition> {
+        self.acknowledged.borrow().get(service).copied()
+    }
+
     /// Waits until no channel uses the primary.
     pub async fn drained(&self, service: &str) {
         let receiver = {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,7 +9,7 @@
 use crate::policy::bounds::Bounds;
 
 /// What one gateway process needs to know.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     pub host: HostId,
     pub data_centre: DataCentreId,
@@ -29,6 +29,16 @@
 }
 
 impl Settings {
+    /// These settings with the parts of `changed` that hold without a new start: the bounds on
+    /// withdrawn keys and on a stop. The bound on the view of primaries must be equal on all hosts
+    /// while any of them runs, so it is not among them.
+    pub fn reloaded(&self, changed: &Self) -> Self {
+        let mut settings = self.clone();
+        settings.bounds.revocation = changed.bounds.revocation;
+        settings.bounds.grace = changed.bounds.grace;
+        settings
+    }
+
     /// Region of a data centre; its own name if none is given.
     pub fn region<'a>(&'a self, data_centre: &'a str) -> &'a str {
         self.regions
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -31,6 +31,8 @@
     configuration: Option<Rc<Configuration>>,
     /// Members whose registration disappeared, and when.
     lapsed: BTreeMap<MemberId, (MemberEntry, Duration)>,
+    /// Members that were slow after their start, until when, and by which revision of their entry.
+    cold: BTreeMap<MemberId, (Revision, Duration)>,
     /// When a host's registration last disappeared while it was not leaving.
     departed: Option<Duration>,
 }
@@ -125,6 +127,11 @@
             .collect()
     }
 
+    /// Whether a member is still slow after its start.
+    pub fn is_cold(&self, id: &str, now: Duration) -> bool {
+        self.cold.get(id).is_some_and(|(_, until)| now < *until)
+    }
+
     pub fn evacuated(&self, data_centre: &str) -> bool {
         let view = self.kinds.get(&Kind::Evacuations);
         view.is_some_and(|k| k.objects.contains_key(data_centre))
@@ -176,6 +183,7 @@
                 }
                 self.lapsed
                     .retain(|_, (_, at)| now.saturating_sub(*at) < LAPSE);
+                self.renew_cold(now);
             }
             Kind::Hosts => {
                 let active =
@@ -188,6 +196,26 @@
         }
     }
 
+    /// An entry tells a time left, which is counted from when this host first sees it: that may be
+    /// too long, never too short.
+    fn renew_cold(&mut self, now: Duration) {
+        let Some(view) = self.kinds.get(&Kind::Members) else {
+            return;
+        };
+        let known = std::mem::take(&mut self.cold);
+        for (id, object) in &view.objects {
+            let Some(Content::Member(entry)) = &object.content else {
+                continue;
+            };
+            if entry.cold.is_zero() {
+                continue;
+            }
+            let seen = known.get(id).filter(|k| k.0 == object.revision);
+            let until = seen.map_or(now + entry.cold, |k| k.1);
+            self.cold.insert(id.clone(), (object.revision, until));
+        }
+    }
+
     /// A configuration of a lower version never replaces a higher one.
     fn renew_configuration(&mut self) {
         let view = self.kinds.get(&Kind::Configuration).into_iter();
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -245,6 +245,7 @@
     Choice {
         distance,
         primary,
+        cold: false,
         latency: millis(latency),
         pending,
     }
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -45,6 +45,7 @@
         draining: false,
         primary: false,
         born: 1,
+        cold: Duration::ZERO,
     })
 }
 
