Renew the age of the view by the store's revision each half second

A list that was made at the store's present revision is current as well, and asking for the revision alone is a small call.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,6 +61,7 @@
         for kind in Kind::ALL {
             tokio::task::spawn_local(follower::follow(node.clone(), kind));
         }
+        tokio::task::spawn_local(follower::stamp(node.clone()));
         tokio::task::spawn_local(follower::register(node.clone()));
         tokio::task::spawn_local(follower::ask_readers(node.clone()));
         tokio::task::spawn_local(follower::ask_peers(node.clone()));
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -55,6 +55,12 @@
     /// Lists all objects of a kind.
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, StoreError>>;
 
+    /// Present revision of the whole store.
+    fn revision(&self) -> impl Future<Output = Result<Revision, StoreError>>;
+
+    /// Opens new connections for the calls from now on; known ones may have gone silent.
+    fn reconnect(&self);
+
     /// Waits up to `wait` for changes after a revision.
     fn watch(
         &self,
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -16,11 +16,13 @@
 use crate::policy::readers::ReaderChoice;
 use crate::store_error::StoreError;
 
-/// Time a watch waits at the store for kinds whose age limits what a host may do. A view may be
-/// twice as old as this, since a watch only shows what was current when it was sent. Above one
-/// second, so that a watch that the store leaves without news for a second is cut before it ends.
-const STAMPED_WAIT: Duration = Duration::from_millis(1200);
-/// Time a watch waits for the other kinds. A connection that went silent costs this time, which
+/// Interval at which a host that reads the store asks for its revision. The age of the kinds that
+/// limit what a host may do stays below this and the time of a call.
+const STAMP_INTERVAL: Duration = Duration::from_millis(500);
+/// Limit of such a call, above the few hundred ms of a slow store. A store that returns is noticed
+/// within this time.
+const STAMP_LIMIT: Duration = Duration::from_millis(600);
+/// Time a watch waits at the store. A connection that went silent costs this time, which
 /// must stay below the bounds on evacuations and leaving members of 5 s and more.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Time that an answer to a peer may wait for news. Twice the watch and this must stay below
@@ -31,8 +33,8 @@
 /// Pause after a failed call, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Age of the view from which a host that is no reader reads the store and asks some peers. Below
-/// the bounds on keys and primaries, which are 4 s and more.
-const PEER_AGE: Duration = Duration::from_millis(3300);
+/// the bounds on keys and primaries, which are 3 s and more.
+const PEER_AGE: Duration = Duration::from_millis(2000);
 /// Interval at which the age is checked.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval at which a host looks whether it has to read the store.
@@ -88,12 +90,7 @@
     }
     let sent = clock::now();
     let from = node.view.borrow().revision(kind);
-    let wait = if STAMPED.contains(&kind) {
-        STAMPED_WAIT
-    } else {
-        WATCH_WAIT
-    };
-    let changes = node.store.watch(kind, from, wait).await?;
+    let changes = node.store.watch(kind, from, WATCH_WAIT).await?;
     let changed = !changes.changes.is_empty();
     node.view
         .borrow_mut()
@@ -104,6 +101,43 @@
     Ok(())
 }
 
+/// Renews the age of the kinds that limit what a host may do, until the process ends. A watch shows
+/// only what was current when it was sent, and may miss changes while the store drops its history.
+pub async fn stamp<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        tokio::time::sleep(STAMP_INTERVAL).await;
+        if !reads_store(&node) {
+            continue;
+        }
+        let sent = clock::now();
+        let asked = tokio::time::timeout(STAMP_LIMIT, node.store.revision()).await;
+        let revision = match asked {
+            Ok(Ok(revision)) => revision,
+            Ok(Err(error)) => {
+                tracing::debug!(event = 619, %error, "the store's revision is not known");
+                continue;
+            }
+            Err(_) => {
+                tracing::debug!(event = 619, "the store's revision is not known in time");
+                node.store.reconnect();
+                continue;
+            }
+        };
+        for kind in STAMPED {
+            let current = {
+                let mut view = node.view.borrow_mut();
+                view.on_revision(kind, revision, sent)
+            };
+            if current {
+                continue;
+            }
+            if let Err(error) = list(&node, kind).await {
+                tracing::debug!(event = 619, ?kind, %error, "a kind was not listed");
+            }
+        }
+    }
+}
+
 async fn list<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Result<(), StoreError> {
     let sent = clock::now();
     let listing = node.store.list(kind).await?;
--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -21,6 +21,8 @@
     pub revision: Revision,
     /// Store revision of the last change of this content; it tells copies apart.
     pub content: Revision,
+    /// Store revision of the last list; while the store has no other, the list is current.
+    listed: Revision,
     /// Time at which a call was sent whose answer showed this content.
     pub current: Option<Duration>,
 }
@@ -46,6 +48,7 @@
             !newer
         });
         self.revision = listing.revision;
+        self.listed = listing.revision;
         self.content = listing.revision;
         self.current = self.current.max(Some(sent));
         previous.into_values().collect()
@@ -71,6 +74,16 @@
         removed
     }
 
+    /// Takes the present revision of the store, which was asked for at `sent`. False if the store
+    /// has changed since the last list, so that this copy may be old.
+    pub fn on_revision(&mut self, revision: Revision, sent: Duration) -> bool {
+        let current = self.current.is_some() && self.listed == revision;
+        if current {
+            self.current = self.current.max(Some(sent));
+        }
+        current
+    }
+
     /// Applies the answer to an own write, which is newer than what the view holds.
     pub fn on_written(&mut self, object: Object) {
         // The content's revision stays: changes before this write may not have arrived yet.
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -73,6 +73,11 @@
         self.after(kind, removed, now);
     }
 
+    /// Takes the store's present revision; false if this kind is to be listed again.
+    pub fn on_revision(&mut self, kind: Kind, revision: Revision, sent: Duration) -> bool {
+        self.view(kind).on_revision(revision, sent)
+    }
+
     pub fn on_written(&mut self, kind: Kind, object: Object, now: Duration) {
         self.view(kind).on_written(object);
         self.after(kind, Vec::new(), now);
