--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -11,6 +11,7 @@
 use magnoliahatch_core::ids::Revision;
 use magnoliahatch_core::ids::Term;
 use magnoliahatch_core::position::LogPosition;
+use rand::seq::SliceRandom;
 
 use crate::clock;
 use crate::member::control;
@@ -24,6 +25,7 @@
 use crate::model::primary_record::PrimaryRecord;
 use crate::node::HOSTS_AGE;
 use crate::node::Node;
+use crate::node::QUIESCE_LIMIT;
 use crate::platform::Platform;
 use crate::platform::PromotionOrder;
 use crate::platform::Store;
@@ -34,9 +36,11 @@
 use crate::promote_error::PromoteError;
 use crate::store_error::StoreError;
 
-/// Limit of one question to a host to stop using the primary; it includes the time that
-/// statements in flight have to end.
-const QUIESCE_LIMIT: Duration = Duration::from_millis(600);
+/// Limit of a question that another host passes on.
+const RELAY_LIMIT: Duration = Duration::from_millis(800);
+/// Hosts that are asked at a time to reach one that does not answer. Where two data centres cannot
+/// reach each other, a third one usually reaches both.
+const RELAYS: usize = 3;
 /// Time in which the chosen member may receive what a leaving primary still holds.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
 /// Pause between two questions to a member.
@@ -64,7 +68,7 @@
         service,
         record,
         revision,
-        until: started + HOLD_LIMIT + node.bounds.get().primary_view,
+        until: started + HOLD_LIMIT + node.settings.bounds.primary_view(),
     };
     let result = change.run(candidate, takeover).await;
     let took = clock::now().saturating_sub(started).as_millis() as u64;
@@ -110,7 +114,8 @@
         let mut demand = self.stop_use(written).await;
         if takeover {
             // The previous holder may still be about to send its order.
-            let wait = (written + self.node.bounds.get().primary_view).saturating_sub(clock::now());
+            let wait =
+                (written + self.node.settings.bounds.primary_view()).saturating_sub(clock::now());
             tokio::time::sleep(wait).await;
         }
         let candidate = match known {
@@ -224,7 +229,7 @@
 
     /// When a host that has not seen this change can no longer use the primary.
     fn lapse(&self, written: Duration) -> Duration {
-        written + self.node.bounds.get().primary_view
+        written + self.node.settings.bounds.primary_view()
     }
 
     fn synchronous(&self) -> bool {
@@ -245,19 +250,40 @@
             match self.node.mesh.call(host, call, QUIESCE_LIMIT).await {
                 Ok(Return::Quiesced(acknowledged)) => return Some(acknowledged),
                 Err(CallError::Ended) => return None,
-                Ok(other) => {
-                    tracing::warn!(event = 658, host, ?other, "host has not confirmed");
-                }
-                Err(error) => {
-                    tracing::debug!(event = 658, host, %error, "host has not confirmed");
+                other => {
+                    tracing::debug!(event = 658, host, ?other, "host has not confirmed");
                 }
             }
+            let relayed = self.ask_relays(host).await;
+            if relayed.is_some() {
+                return relayed;
+            }
             let left = lapse.saturating_sub(clock::now());
             tokio::time::sleep(RETRY_PAUSE.min(left)).await;
         }
         None
     }
 
+    /// Asks a host through some others.
+    async fn ask_relays(&self, host: &str) -> Option<Option<LogPosition>> {
+        let mut relays: Vec<HostId> = self.node.live_hosts();
+        relays.retain(|h| h != host && *h != self.node.settings.host);
+        relays.shuffle(&mut rand::rng());
+        let asked = relays.iter().take(RELAYS).map(async |relay| {
+            let call = Call::QuiesceAt {
+                host: host.to_owned(),
+                service: self.service.to_owned(),
+                revision: self.revision,
+            };
+            self.node.mesh.call(relay, call, RELAY_LIMIT).await
+        });
+        let answers = futures::future::join_all(asked).await;
+        answers.into_iter().find_map(|answer| match answer {
+            Ok(Return::Quiesced(acknowledged)) => Some(acknowledged),
+            _ => None,
+        })
+    }
+
     /// The member that has received most. A leaving primary's last writes are waited for; where no
     /// commit may be lost, a member that is certain to hold all of them.
     async fn candidate(&self, old: &str, demand: &mut Demand) -> Option<MemberId> {
--- a/crates/gateway/src/duty/watch_primary.rs
+++ b/crates/gateway/src/duty/watch_primary.rs
@@ -96,7 +96,7 @@
             _ => now,
         };
         *seen_change = Some((revision, since));
-        let bound = node.bounds.get().primary_view + HOLDER_SILENCE;
+        let bound = node.settings.bounds.primary_view() + HOLDER_SILENCE;
         let ended = holder_ended(node, change);
         if ended || now.saturating_sub(since) > bound {
             promoter::replace(node, service, record, revision, !ended).await;
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -66,6 +66,12 @@
         service: String,
         revision: Revision,
     },
+    /// Asks to pass the same question on to a host that the caller does not reach.
+    QuiesceAt {
+        host: HostId,
+        service: String,
+        revision: Revision,
+    },
     /// Asks whether the primary of a service answers this host.
     Reach {
         service: String,
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -23,6 +23,7 @@
 use crate::model::outcome::Cause;
 use crate::model::outcome::failure;
 use crate::node::Node;
+use crate::node::QUIESCE_LIMIT;
 use crate::platform::Platform;
 use crate::socket;
 use crate::wire_error::WireError;
@@ -135,6 +136,18 @@
         Call::Quiesce { service, revision } => {
             Return::Quiesced(node.quiesce(&service, revision).await)
         }
+        Call::QuiesceAt {
+            host,
+            service,
+            revision,
+        } => {
+            let call = Call::Quiesce { service, revision };
+            // Only a confirmation counts: this host may know another process by that name.
+            match node.mesh.call(&host, call, QUIESCE_LIMIT).await {
+                Ok(Return::Quiesced(acknowledged)) => Return::Quiesced(acknowledged),
+                _ => Return::Done,
+            }
+        }
         Call::Reach { service } => Return::Reach(control::reaches_primary(node, &service).await),
         Call::Ping | Call::Run { .. } | Call::End { .. } => Return::Done,
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -45,7 +45,9 @@
 /// the deployment are above it.
 const LEAVING_LIMIT: Duration = Duration::from_millis(3500);
 /// Time for statements in flight to end before a primary is given up.
-const QUIESCE_LIMIT: Duration = Duration::from_millis(300);
+const DRAIN_LIMIT: Duration = Duration::from_millis(300);
+/// Limit of one question to a host to stop using a primary; it includes `DRAIN_LIMIT`.
+pub const QUIESCE_LIMIT: Duration = Duration::from_millis(600);
 /// A host whose list of hosts is older uses no primary. A change of primary waits this long for a
 /// host that was removed from the list and may not know it.
 pub const HOSTS_AGE: Duration = Duration::from_secs(8);
@@ -55,7 +57,8 @@
 /// One host.
 pub struct Node<P: Platform> {
     pub settings: Settings,
-    /// Renewed when the settings change.
+    /// Renewed when the settings change. The bound on the view of primaries stays that of
+    /// `settings`.
     pub bounds: Cell<Bounds>,
     pub incarnation: Incarnation,
     pub store: P::Store,
@@ -258,7 +261,7 @@
         let view = self.view.borrow();
         let now = clock::now();
         let within = |kind, limit| view.age(&[kind], now).is_some_and(|age| age <= limit);
-        let recent = within(Kind::Primaries, self.bounds.get().primary_view)
+        let recent = within(Kind::Primaries, self.settings.bounds.primary_view())
             && within(Kind::Hosts, HOSTS_AGE);
         let registered = view
             .host(&self.settings.host)
@@ -298,7 +301,7 @@
     pub async fn quiesce(&self, service: &str, revision: Revision) -> Option<LogPosition> {
         self.primaries.block(service, revision);
         self.changed.send_modify(|n| *n += 1);
-        let drained = tokio::time::timeout(QUIESCE_LIMIT, self.primaries.drained(service)).await;
+        let drained = tokio::time::timeout(DRAIN_LIMIT, self.primaries.drained(service)).await;
         let complete = drained.is_ok();
         tracing::info!(
             event = 651,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,7 +31,7 @@
 impl Settings {
     /// These settings with the parts of `changed` that hold without a new start: the bounds on
     /// withdrawn keys and on a stop. The bound on the view of primaries must be equal on all hosts
-    /// while any of them runs, so it is not among them.
+    /// while any of them runs, so it stays as it was at the start.
     pub fn reloaded(&self, changed: &Self) -> Self {
         let mut settings = self.clone();
         settings.bounds.revocation = changed.bounds.revocation;
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -383,8 +383,23 @@
 fn keys_are_trusted_for_less_than_the_revocation_bound() {
     let bounds = Bounds {
         revocation: millis(5000),
-        primary_view: millis(4000),
+        contact: millis(4000),
         grace: millis(6000),
     };
     assert!(bounds.key_trust() + millis(600) <= bounds.revocation);
 }
+
+/// Pattern: hosts are cut off while a primary is replaced. Guards against a change that waits for
+/// them longer than callers count on a host without a way to the store, or than contact lasts.
+#[test]
+fn primaries_are_given_up_before_keys_are() {
+    let mut bounds = Bounds {
+        revocation: millis(5000),
+        contact: millis(4000),
+        grace: millis(6000),
+    };
+    assert_eq!(bounds.primary_view(), millis(3000));
+    assert!(bounds.primary_view() < bounds.key_trust());
+    bounds.contact = millis(2000);
+    assert_eq!(bounds.primary_view(), millis(2000));
+}
