--- a/crates/gateway/src/member/control.rs
+++ b/crates/gateway/src/member/control.rs
@@ -58,7 +58,15 @@
     let Some(primary) = primary else {
         return false;
     };
-    let recent = |at| clock::now().saturating_sub(at) < ANSWER_AGE;
-    let pool = node.pools.find(&primary);
-    pool.and_then(|p| p.answered()).is_some_and(recent) || status(node, &primary).await.is_some()
+    if answered_recently(node, &primary) {
+        return true;
+    }
+    // A refusal, for instance for too many connections, is an answer as well.
+    status(node, &primary).await.is_some() || answered_recently(node, &primary)
+}
+
+fn answered_recently<P: Platform>(node: &Rc<Node<P>>, member: &str) -> bool {
+    let pool = node.pools.find(member);
+    let answered = pool.and_then(|p| p.answered());
+    answered.is_some_and(|at| clock::now().saturating_sub(at) < ANSWER_AGE)
 }
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -291,6 +291,9 @@
                 if code == ErrorCode::ConnectionLimit {
                     self.limited.set(Some(now));
                 }
+                if code != ErrorCode::Misrouted {
+                    self.on_answer();
+                }
                 Err(failure(ErrorCode::Busy, Cause::Member))
             }
             Err(error) => {
