--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,8 +43,8 @@
 /// Hosts that a new process asks how long they run. A fleet of which half was started again is
 /// taken for a whole one in 1 of 256 cases, which costs no more than a second restart.
 const AGES_ASKED: usize = 8;
-/// Limit of this question; the longest way between regions is a few ms.
-const AGE_LIMIT: Duration = Duration::from_millis(200);
+/// Limit of this question; processes that start answer within some hundred ms.
+const AGE_LIMIT: Duration = Duration::from_millis(500);
 /// Interval at which a stop looks for remaining sessions.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 /// Time that the balancer needs to notice that this host is not ready.
@@ -202,7 +202,9 @@
             _ => None,
         })
         .collect();
-    let whole = restart::is_whole(node.age(), &ages);
+    // Without an answer this process may be cut off from a system that goes on.
+    let alone = others.is_empty();
+    let whole = (alone || !ages.is_empty()) && restart::is_whole(node.age(), &ages);
     tracing::info!(
         event = 685,
         whole,
--- a/crates/gateway/src/member/control.rs
+++ b/crates/gateway/src/member/control.rs
@@ -15,8 +15,6 @@
 const STATUS_LIMIT: Duration = Duration::from_millis(500);
 /// An answer younger than this shows that a member is reached.
 const ANSWER_AGE: Duration = Duration::from_millis(600);
-/// Name under which this host asks members about themselves.
-const STATUS_USER: &str = "-";
 
 /// Asks a member about itself.
 pub async fn status<P: Platform>(node: &Rc<Node<P>>, member: &str) -> Option<MemberStatus> {
@@ -33,7 +31,7 @@
     // Failures of the pool and of the connection are logged there.
     let pool = node.pool(member).ok()?;
     let until = clock::now() + STATUS_LIMIT;
-    let mut lease = pool.connection(STATUS_USER, 0, until).await.ok()?;
+    let mut lease = pool.command_connection(until).await.ok()?;
     let sent = clock::now();
     match lease.run(command, STATUS_LIMIT).await {
         Ok(answered) => {
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -29,6 +29,7 @@
 use crate::policy::connection_plan::Idle;
 use crate::policy::connection_plan::Plan;
 use crate::policy::connection_plan::plan;
+use crate::policy::connection_plan::plan_command;
 
 /// Statements sent to a member for each of its slots: one runs while the next is on its way.
 const SENT_PER_SLOT: u32 = 2;
@@ -40,6 +41,9 @@
 /// silent meanwhile.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
+/// Name of connections that are opened for commands of the proxy's own.
+const COMMAND_USER: &str = "-";
+
 /// Identity and address of a member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
@@ -164,6 +168,22 @@
         organisation: &str,
         priority: u32,
         until: Duration,
+    ) -> Result<Lease<P>, Failure> {
+        let choose = |idle: &[Idle], total, limit| plan(organisation, idle, total, limit);
+        self.planned(choose, organisation, priority, until).await
+    }
+
+    /// Takes any connection for a command of the proxy's own.
+    pub async fn command_connection(self: &Rc<Self>, until: Duration) -> Result<Lease<P>, Failure> {
+        self.planned(plan_command, COMMAND_USER, 0, until).await
+    }
+
+    async fn planned(
+        self: &Rc<Self>,
+        choose: impl Fn(&[Idle], u32, u32) -> Plan,
+        organisation: &str,
+        priority: u32,
+        until: Duration,
     ) -> Result<Lease<P>, Failure> {
         loop {
             self.close_rested();
@@ -185,7 +205,7 @@
             } else {
                 self.limit.get()
             };
-            match plan(organisation, &idle, self.total.get(), limit) {
+            match choose(&idle, self.total.get(), limit) {
                 Plan::Use(index) => {
                     let connection = self.idle.borrow_mut().remove(index);
                     return Ok(Lease::new(self.clone(), connection));
--- a/crates/gateway/src/policy/connection_plan.rs
+++ b/crates/gateway/src/policy/connection_plan.rs
@@ -20,6 +20,15 @@
     Wait,
 }
 
+/// Plan for a command of the proxy's own, which any connection carries.
+pub fn plan_command(idle: &[Idle], total: u32, limit: u32) -> Plan {
+    match idle.len().checked_sub(1) {
+        Some(newest) => Plan::Use(newest),
+        None if total < limit => Plan::Open,
+        None => Plan::Wait,
+    }
+}
+
 /// A connection carries one organisation's name from its start, so one of another organisation
 /// can only be replaced.
 pub fn plan(organisation: &str, idle: &[Idle], total: u32, limit: u32) -> Plan {
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -11,6 +11,7 @@
 use magnoliahatch_gateway::policy::connection_plan::Idle;
 use magnoliahatch_gateway::policy::connection_plan::Plan;
 use magnoliahatch_gateway::policy::connection_plan::plan;
+use magnoliahatch_gateway::policy::connection_plan::plan_command;
 use magnoliahatch_gateway::policy::homes;
 use magnoliahatch_gateway::policy::homes::Candidate;
 use magnoliahatch_gateway::policy::quota::QuotaTable;
@@ -363,6 +364,18 @@
     assert_eq!(late, Some(Reason::Failed));
 }
 
+/// Pattern: all connections of a member are in use, or dark ones fill it up after a loss of power.
+/// Guards against a question to a member that needs one more connection, or closes one.
+#[test]
+fn command_uses_any_connection() {
+    let idle = ["org-a", "org-b"].map(|organisation| Idle {
+        organisation: organisation.to_owned(),
+    });
+    assert_eq!(plan_command(&idle, 2, 2), Plan::Use(1));
+    assert_eq!(plan_command(&[], 1, 2), Plan::Open);
+    assert_eq!(plan_command(&[], 2, 2), Plan::Wait);
+}
+
 /// Guards against silence that was counted against the previous primary.
 #[test]
 fn successor_starts_with_a_clean_record() {
