Keep a part of the connections unopened while others are idle; pace openings

A host opens at most as many connections at once as the member has slots, and beyond 0.6 of its part replaces an idle connection of another organisation before it opens one.

--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -28,6 +28,7 @@
 use crate::policy::cold_start::Pace;
 use crate::policy::connection_plan::Idle;
 use crate::policy::connection_plan::Plan;
+use crate::policy::connection_plan::paced;
 use crate::policy::connection_plan::plan;
 use crate::policy::connection_plan::plan_command;
 
@@ -60,6 +61,8 @@
     pub endpoint: Endpoint,
     idle: RefCell<Vec<Connection<P>>>,
     total: Cell<u32>,
+    /// Connections that are being opened.
+    opening: Cell<u32>,
     limit: Cell<u32>,
     waiters: RefCell<Waiters>,
     next: Cell<u64>,
@@ -79,6 +82,7 @@
             endpoint,
             idle: RefCell::default(),
             total: Cell::new(0),
+            opening: Cell::new(0),
             limit: Cell::new(1),
             waiters: RefCell::default(),
             next: Cell::new(0),
@@ -205,7 +209,8 @@
             } else {
                 self.limit.get()
             };
-            match choose(&idle, self.total.get(), limit) {
+            let chosen = choose(&idle, self.total.get(), limit);
+            match paced(chosen, self.opening.get(), self.endpoint.slots) {
                 Plan::Use(index) => {
                     let connection = self.idle.borrow_mut().remove(index);
                     return Ok(Lease::new(self.clone(), connection));
@@ -297,7 +302,13 @@
         let guard = scopeguard(|| self.on_closed());
         let e = &self.endpoint;
         let generation = self.generation.get();
+        self.opening.set(self.opening.get() + 1);
+        let ending = scopeguard(|| {
+            self.opening.set(self.opening.get() - 1);
+            self.wake();
+        });
         let opened = Connection::open(e.address, &e.service, &e.member, organisation).await;
+        drop(ending);
         match opened {
             Ok(mut connection) => {
                 guard.disarm();
--- a/crates/gateway/src/policy/connection_plan.rs
+++ b/crates/gateway/src/policy/connection_plan.rs
@@ -2,6 +2,10 @@
 
 use magnoliahatch_core::ids::OrganisationId;
 
+/// Part of its connections up to which a host opens one although others are idle. After a loss of
+/// power a member keeps dark connections for seconds, and only what is left can be opened then.
+const READY_PART: (u32, u32) = (3, 5);
+
 /// An idle connection, as the plan sees it. Later entries were used more recently.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Idle {
@@ -20,6 +24,19 @@
     Wait,
 }
 
+fn readily(limit: u32) -> u32 {
+    (limit * READY_PART.0 / READY_PART.1).max(1)
+}
+
+/// Holds back a plan that opens a connection while as many are being opened as the member has
+/// slots: each occupies one, and more of them would fill the member's queue and delay statements.
+pub fn paced(plan: Plan, opening: u32, slots: u32) -> Plan {
+    match plan {
+        Plan::Open | Plan::Replace(_) if opening >= slots.max(1) => Plan::Wait,
+        plan => plan,
+    }
+}
+
 /// Plan for a command of the proxy's own, which any connection carries.
 pub fn plan_command(idle: &[Idle], total: u32, limit: u32) -> Plan {
     match idle.len().checked_sub(1) {
@@ -35,7 +52,7 @@
     if let Some(index) = idle.iter().rposition(|c| c.organisation == organisation) {
         return Plan::Use(index);
     }
-    if total < limit {
+    if total < readily(limit) || (idle.is_empty() && total < limit) {
         return Plan::Open;
     }
     // The organisation with the most idle connections loses the one that rested longest.
