Notice a primary that does not answer earlier

The limits are 400, 150 and 450 ms now; a member answers within some tens of ms, and a host that is not asked directly is asked with all others. Silence counts as a failure after 500 ms, which one round takes.

--- a/crates/gateway/src/duty/promoter.rs
+++ b/crates/gateway/src/duty/promoter.rs
@@ -81,9 +81,8 @@
 
 /// Makes the old primary a replica, if it can be reached.
 async fn demote<P: Platform>(node: Rc<Node<P>>, service: String, old: MemberId, term: Term) {
-    let reached = control::run(&node, &old, Command::Demote(term))
-        .await
-        .is_some();
+    let demoted = control::run(&node, &old, Command::Demote(term), control::STATUS_LIMIT);
+    let reached = demoted.await.is_some();
     tracing::info!(event = 656, service, old, reached, "old primary demoted");
 }
 
--- a/crates/gateway/src/duty/watch_primary.rs
+++ b/crates/gateway/src/duty/watch_primary.rs
@@ -29,9 +29,9 @@
 /// Interval of the watch; a small part of the time after which a primary counts as failed.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Limit of the question to the home of the primary. It answers at once while there is traffic.
-const HOME_LIMIT: Duration = Duration::from_millis(300);
+const HOME_LIMIT: Duration = Duration::from_millis(150);
 /// Limit of a question to all hosts, which includes a question to the primary.
-const REACH_LIMIT: Duration = Duration::from_millis(700);
+const REACH_LIMIT: Duration = Duration::from_millis(450);
 /// A change whose holder may still run is taken over after the bound on the view's age and this,
 /// which is above the time that an undisturbed change takes.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2500);
--- a/crates/gateway/src/member/control.rs
+++ b/crates/gateway/src/member/control.rs
@@ -12,13 +12,15 @@
 use crate::platform::Platform;
 
 /// Limit of a question about a primary's position or state.
-const STATUS_LIMIT: Duration = Duration::from_millis(500);
+pub const STATUS_LIMIT: Duration = Duration::from_millis(500);
+/// Limit of the question whether a member is reached; a member answers within some tens of ms.
+const REACH_LIMIT: Duration = Duration::from_millis(350);
 /// An answer younger than this shows that a member is reached.
-const ANSWER_AGE: Duration = Duration::from_millis(600);
+const ANSWER_AGE: Duration = Duration::from_millis(400);
 
 /// Asks a member about itself.
 pub async fn status<P: Platform>(node: &Rc<Node<P>>, member: &str) -> Option<MemberStatus> {
-    let rows = run(node, member, Command::Status).await?;
+    let rows = run(node, member, Command::Status, STATUS_LIMIT).await?;
     P::member_status(rows.first()?)
 }
 
@@ -27,13 +29,14 @@
     node: &Rc<Node<P>>,
     member: &str,
     command: Command,
+    limit: Duration,
 ) -> Option<Vec<Bytes>> {
     // Failures of the pool and of the connection are logged there.
     let pool = node.pool(member).ok()?;
-    let until = clock::now() + STATUS_LIMIT;
+    let until = clock::now() + limit;
     let mut lease = pool.command_connection(until).await.ok()?;
     let sent = clock::now();
-    match lease.run(command, STATUS_LIMIT).await {
+    match lease.run(command, until.saturating_sub(sent)).await {
         Ok(answered) => {
             pool.on_answer();
             lease.give_back();
@@ -60,7 +63,8 @@
         return true;
     }
     // A refusal, for instance for too many connections, is an answer as well.
-    status(node, &primary).await.is_some() || answered_recently(node, &primary)
+    let asked = run(node, &primary, Command::Status, REACH_LIMIT).await;
+    asked.is_some() || answered_recently(node, &primary)
 }
 
 fn answered_recently<P: Platform>(node: &Rc<Node<P>>, member: &str) -> bool {
--- a/crates/gateway/src/policy/succession.rs
+++ b/crates/gateway/src/policy/succession.rs
@@ -5,7 +5,7 @@
 use magnoliahatch_core::ids::MemberId;
 
 /// Silence after which a primary that no host reaches counts as failed.
-const FAILURE: Duration = Duration::from_millis(700);
+const FAILURE: Duration = Duration::from_millis(500);
 /// A registration may lapse while the store is away, and is back within two seconds of its
 /// return; one that is missing longer is gone.
 const GONE: Duration = Duration::from_millis(2600);
