--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -28,6 +28,7 @@
 use crate::policy::cold_start::Pace;
 use crate::policy::connection_plan::Idle;
 use crate::policy::connection_plan::Plan;
+use crate::policy::connection_plan::Room;
 use crate::policy::connection_plan::paced;
 use crate::policy::connection_plan::plan;
 use crate::policy::connection_plan::plan_command;
@@ -63,7 +64,7 @@
     total: Cell<u32>,
     /// Connections that are being opened.
     opening: Cell<u32>,
-    limit: Cell<u32>,
+    room: Cell<Room>,
     waiters: RefCell<Waiters>,
     next: Cell<u64>,
     admission: RefCell<Admission>,
@@ -83,7 +84,7 @@
             idle: RefCell::default(),
             total: Cell::new(0),
             opening: Cell::new(0),
-            limit: Cell::new(1),
+            room: Cell::new(Room::new(1, 1)),
             waiters: RefCell::default(),
             next: Cell::new(0),
             admission: RefCell::new(Admission::new(capacity)),
@@ -96,9 +97,9 @@
         })
     }
 
-    /// Sets how many connections this host may hold.
-    pub fn set_limit(&self, limit: u32) {
-        self.limit.set(limit.max(1));
+    /// Sets how many connections this host may hold, and how many organisations share them.
+    pub fn set_limit(&self, limit: u32, organisations: usize) {
+        self.room.set(Room::new(limit.max(1), organisations));
     }
 
     /// Sets the rate of a cold member, and whether this host is its home; no rate for a warm one.
@@ -173,7 +174,7 @@
         priority: u32,
         until: Duration,
     ) -> Result<Lease<P>, Failure> {
-        let choose = |idle: &[Idle], total, limit| plan(organisation, idle, total, limit);
+        let choose = |idle: &[Idle], total, room| plan(organisation, idle, total, room);
         self.planned(choose, organisation, priority, until).await
     }
 
@@ -184,7 +185,7 @@
 
     async fn planned(
         self: &Rc<Self>,
-        choose: impl Fn(&[Idle], u32, u32) -> Plan,
+        choose: impl Fn(&[Idle], u32, Room) -> Plan,
         organisation: &str,
         priority: u32,
         until: Duration,
@@ -204,12 +205,13 @@
                 .limited
                 .get()
                 .is_some_and(|at| now.saturating_sub(at) < LIMIT_PAUSE);
-            let limit = if paused {
-                self.total.get()
-            } else {
-                self.limit.get()
-            };
-            let chosen = choose(&idle, self.total.get(), limit);
+            let total = self.total.get();
+            let mut room = self.room.get();
+            if paused {
+                room.limit = total;
+                room.ready = total;
+            }
+            let chosen = choose(&idle, total, room);
             match paced(chosen, self.opening.get(), self.endpoint.slots) {
                 Plan::Use(index) => {
                     let connection = self.idle.borrow_mut().remove(index);
@@ -255,7 +257,9 @@
     }
 
     pub(super) fn on_returned(&self, mut connection: Connection<P>) {
-        if connection.generation != self.generation.get() || self.total.get() > self.limit.get() {
+        if connection.generation != self.generation.get()
+            || self.total.get() > self.room.get().limit
+        {
             drop(connection);
             self.on_closed();
             return;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -236,13 +236,15 @@
         };
         let pool = self.pools.get(&endpoint, entry.born);
         let configuration = view.configuration();
+        let organisations = configuration.as_ref().map_or(0, |c| c.rates.len());
         let limits = configuration.and_then(|c| c.services.get(&entry.service).copied());
         let cold = view.is_cold(member, now);
         drop(view);
         let all = limits.map_or(1, |l| l.connections);
         let reserve = (all / RESERVE_DIVISOR).max(1);
         let own = self.home(member, |_| true).as_ref() == Some(&self.settings.host);
-        pool.set_limit(if own { all - reserve.min(all) } else { reserve });
+        let limit = if own { all - reserve.min(all) } else { reserve };
+        pool.set_limit(limit, organisations);
         let rate = limits.map(|l| l.cold_rate).filter(|r| cold && *r > 0.0);
         pool.set_cold(rate, own);
         Ok(pool)
--- a/crates/gateway/src/policy/connection_plan.rs
+++ b/crates/gateway/src/policy/connection_plan.rs
@@ -4,7 +4,30 @@
 
 /// Part of its connections up to which a host opens one although others are idle. After a loss of
 /// power a member keeps dark connections for seconds, and only what is left can be opened then.
-const READY_PART: (u32, u32) = (3, 5);
+const READY_PART: f64 = 0.6;
+/// Connections for each organisation up to which the same holds. With fewer, organisations take each
+/// other's connections away, and each new one occupies a slot.
+const READY_EACH: f64 = 1.5;
+
+/// How many connections a host may have to a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    pub limit: u32,
+    /// Beyond this an idle connection of another organisation is replaced.
+    pub ready: u32,
+}
+
+impl Room {
+    pub fn new(limit: u32, organisations: usize) -> Self {
+        let part = f64::from(limit) * READY_PART;
+        let each = organisations as f64 * READY_EACH;
+        let ready = part.max(each).min(f64::from(limit)) as u32;
+        Self {
+            limit,
+            ready: ready.max(1),
+        }
+    }
+}
 
 /// An idle connection, as the plan sees it. Later entries were used more recently.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,10 +47,6 @@
     Wait,
 }
 
-fn readily(limit: u32) -> u32 {
-    (limit * READY_PART.0 / READY_PART.1).max(1)
-}
-
 /// Holds back a plan that opens a connection while as many are being opened as the member has
 /// slots: each occupies one, and more of them would fill the member's queue and delay statements.
 pub fn paced(plan: Plan, opening: u32, slots: u32) -> Plan {
@@ -38,21 +57,21 @@
 }
 
 /// Plan for a command of the proxy's own, which any connection carries.
-pub fn plan_command(idle: &[Idle], total: u32, limit: u32) -> Plan {
+pub fn plan_command(idle: &[Idle], total: u32, room: Room) -> Plan {
     match idle.len().checked_sub(1) {
         Some(newest) => Plan::Use(newest),
-        None if total < limit => Plan::Open,
+        None if total < room.limit => Plan::Open,
         None => Plan::Wait,
     }
 }
 
 /// A connection carries one organisation's name from its start, so one of another organisation
 /// can only be replaced.
-pub fn plan(organisation: &str, idle: &[Idle], total: u32, limit: u32) -> Plan {
+pub fn plan(organisation: &str, idle: &[Idle], total: u32, room: Room) -> Plan {
     if let Some(index) = idle.iter().rposition(|c| c.organisation == organisation) {
         return Plan::Use(index);
     }
-    if total < readily(limit) || (idle.is_empty() && total < limit) {
+    if total < room.ready || (idle.is_empty() && total < room.limit) {
         return Plan::Open;
     }
     // The organisation with the most idle connections loses the one that rested longest.
