Give connections back when another host becomes a member's home; look again while waiting

Cause: while a host restarts another is the home of its members and opens connections up to the limit. When the first returns, the other keeps its idle ones, since a pool is looked at only when it is used.

Limits are renewed each half second, and idle connections beyond them are closed; a caller that waits for a connection looks again each 100 ms, in its place in the queue. A question about a primary's reach that is no longer waited for runs to its end, since dropping it closes its connection.

Test former_home_gives_connections_back: fails without the closing of idle connections.

--- a/crates/gateway/src/duty/watch_primary.rs
+++ b/crates/gateway/src/duty/watch_primary.rs
@@ -172,7 +172,12 @@
     let others: Vec<HostId> = node.live_hosts().into_iter().filter(|h| h != own).collect();
     let asked = others.iter().map(|h| ask(node, h, service, REACH_LIMIT));
     let mut answers: FuturesUnordered<_> = asked.collect();
-    let local = control::reaches_primary(node, service);
+    // Runs to its end also if it is not waited for: a question that is dropped costs its connection.
+    let own_question = {
+        let (node, service) = (node.clone(), service.to_owned());
+        tokio::task::spawn_local(async move { control::reaches_primary(&node, &service).await })
+    };
+    let local = async { own_question.await.unwrap_or(false) };
     let remote = async {
         while let Some(reached) = answers.next().await {
             if reached {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,9 @@
 
 /// Interval at which the readiness flag is renewed.
 const READY_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which limits of connections are renewed. Until then a new home may find a member's
+/// connections held by the former one.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the grace in which clients are still served; after it no operation begins here.
 const SERVE_PART: f64 = 0.4;
 /// Part of the grace that open transactions have after a stop signal.
@@ -80,6 +83,7 @@
         tokio::task::spawn_local(listener::serve(node.clone(), clients));
         tokio::task::spawn_local(watch_primary::run(node.clone()));
         tokio::task::spawn_local(renew_ready(node.clone(), ready.clone()));
+        tokio::task::spawn_local(renew_limits(node.clone()));
         Ok(Self {
             node,
             ready,
@@ -182,6 +186,14 @@
         .map_err(|source| StartError::Listen { address, source })
 }
 
+/// Renews the limits of connections until the process ends.
+async fn renew_limits<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        tokio::time::sleep(LIMITS_INTERVAL).await;
+        node.renew_limits();
+    }
+}
+
 /// Gives the organisations their first tokens.
 async fn fill<P: Platform>(node: Rc<Node<P>>) {
     if node.settings.first_start {
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -43,6 +43,8 @@
 /// silent meanwhile.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
+/// Longest wait for a connection before the pool is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Name of connections that are opened for commands of the proxy's own.
 const COMMAND_USER: &str = "-";
 
@@ -100,6 +102,17 @@
     /// Sets how many connections this host may hold, and how many organisations share them.
     pub fn set_limit(&self, limit: u32, organisations: usize) {
         self.room.set(Room::new(limit.max(1), organisations));
+        self.close_surplus();
+    }
+
+    /// Closes idle connections beyond the limit: another host may need them.
+    fn close_surplus(&self) {
+        let surplus = self.total.get().saturating_sub(self.room.get().limit) as usize;
+        let mut idle = self.idle.borrow_mut();
+        let closed = surplus.min(idle.len());
+        // The first ones have rested longest.
+        idle.drain(..closed);
+        self.total.set(self.total.get() - closed as u32);
     }
 
     /// Sets the rate of a cold member, and whether this host is its home; no rate for a warm one.
@@ -190,6 +203,8 @@
         priority: u32,
         until: Duration,
     ) -> Result<Lease<P>, Failure> {
+        let place = (priority, self.next.get());
+        self.next.set(self.next.get() + 1);
         loop {
             self.close_rested();
             let idle: Vec<Idle> = {
@@ -223,7 +238,7 @@
                     self.total.set(self.total.get().saturating_sub(1));
                     return self.open(organisation).await;
                 }
-                Plan::Wait => self.wait(organisation, priority, until).await?,
+                Plan::Wait => self.wait(organisation, place, until).await?,
             }
         }
     }
@@ -338,36 +353,27 @@
         }
     }
 
+    /// Waits for a connection or the room for one. Looks again after `LOOK_AGAIN`, since room also
+    /// comes with time: after a refusal by the member, or when another host has closed some.
     async fn wait(
         self: &Rc<Self>,
         organisation: &str,
-        priority: u32,
+        place: (u32, u64),
         until: Duration,
     ) -> Result<(), Failure> {
-        let busy = || failure(ErrorCode::Busy, Cause::Queue);
         let left = until.saturating_sub(clock::now());
         if left.is_zero() {
-            return Err(busy());
+            return Err(failure(ErrorCode::Busy, Cause::Queue));
         }
-        let number = self.next.get();
-        self.next.set(number + 1);
         let (sender, receiver) = oneshot::channel();
         let entry = (organisation.to_owned(), sender);
-        self.waiters.borrow_mut().insert((priority, number), entry);
-        let woken = tokio::time::timeout(left, receiver).await;
-        if matches!(woken, Ok(Ok(()))) {
-            return Ok(());
-        }
-        if self
-            .waiters
-            .borrow_mut()
-            .remove(&(priority, number))
-            .is_none()
-        {
+        self.waiters.borrow_mut().insert(place, entry);
+        let woken = tokio::time::timeout(left.min(LOOK_AGAIN), receiver).await;
+        if !matches!(woken, Ok(Ok(()))) && self.waiters.borrow_mut().remove(&place).is_none() {
             // A wake-up that crossed the time limit is passed on.
             self.wake();
         }
-        Err(busy())
+        Ok(())
     }
 
     /// Wakes one waiting caller; one of the organisation of the newest idle connection first.
@@ -385,7 +391,7 @@
             (_, first) => first,
         };
         if let Some((_, sender)) = key.and_then(|k| waiters.remove(&k)) {
-            // A caller that is gone has reached its limit and passes the wake-up on itself.
+            // A caller that is gone looks again by itself, as do the others.
             let _ = sender.send(());
         }
     }
--- a/crates/gateway/src/member/pool_table.rs
+++ b/crates/gateway/src/member/pool_table.rs
@@ -47,6 +47,11 @@
         pools.get(member).map(|(_, pool)| pool.clone())
     }
 
+    /// Members with a pool.
+    pub fn members(&self) -> Vec<MemberId> {
+        self.pools.borrow().keys().cloned().collect()
+    }
+
     /// Forgets the members for which `keep` is false; their idle connections are closed.
     pub fn retain(&self, keep: impl Fn(&MemberId) -> bool) {
         self.pools.borrow_mut().retain(|member, (_, pool)| {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -250,6 +250,15 @@
         Ok(pool)
     }
 
+    /// Applies this host's present part of the connections to all members: it may have ceased to be
+    /// the home of some.
+    pub fn renew_limits(&self) {
+        for member in self.pools.members() {
+            // A member that may not be used keeps what it has until its registration goes.
+            let _ = self.pool(&member);
+        }
+    }
+
     /// The member that may run writes of a service now, by this host's view.
     pub fn primary(&self, service: &str) -> Option<MemberId> {
         let primary = {
