--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions without I/O, clock or randomness of their own.
 
 pub mod admission;
+pub mod backoff;
 pub mod bounds;
 pub mod callers;
 pub mod cold_start;
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -13,6 +13,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::platform::Store;
+use crate::policy::backoff::Backoff;
 use crate::policy::readers::ReaderChoice;
 use crate::store_error::StoreError;
 
@@ -30,7 +31,7 @@
 const HOLD: Duration = Duration::from_millis(600);
 /// Kinds whose age limits what a host may do.
 const STAMPED: [Kind; 2] = [Kind::Configuration, Kind::Primaries];
-/// Pause after a failed call, before jitter.
+/// Pause before the registration is written again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Age of the view from which a host that is no reader reads the store and asks some peers. Below
 /// the bounds on keys and primaries, which are 3 s and more.
@@ -47,7 +48,7 @@
 /// Follows one kind until the process ends.
 pub async fn follow<P: Platform>(node: Rc<Node<P>>, kind: Kind) {
     let mut listed = false;
-    let mut failing = false;
+    let mut backoff = Backoff::default();
     loop {
         let started = node.view.borrow().age(&[kind], clock::now()).is_some();
         if started && !reads_store(&node) {
@@ -59,7 +60,7 @@
         let result = step(&node, kind, &mut listed).await;
         match result {
             Ok(()) => {
-                if std::mem::take(&mut failing) {
+                if backoff.on_success() {
                     tracing::info!(event = 602, ?kind, "store reached again");
                 }
             }
@@ -68,11 +69,10 @@
                 listed = false;
             }
             Err(error) => {
-                if !std::mem::replace(&mut failing, true) {
+                if !backoff.is_failing() {
                     tracing::warn!(event = 601, ?kind, %error, "store not reached");
                 }
-                let jitter = rand::random_range(0.5..1.5);
-                tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+                tokio::time::sleep(backoff.on_failure(rand::random())).await;
             }
         }
     }
