--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::member::connection::Connection;
 use crate::member::connection_error::ConnectionError;
+use crate::member::guard::on_drop;
 use crate::member::lease::Lease;
 use crate::member::slot::Slot;
 use crate::model::error_code::ErrorCode;
@@ -318,11 +319,11 @@
         }
         // The opening is counted before it is awaited, so that the limit holds.
         self.total.set(self.total.get() + 1);
-        let guard = scopeguard(|| self.on_closed());
+        let guard = on_drop(|| self.on_closed());
         let e = &self.endpoint;
         let generation = self.generation.get();
         self.opening.set(self.opening.get() + 1);
-        let ending = scopeguard(|| {
+        let ending = on_drop(|| {
             self.opening.set(self.opening.get() - 1);
             self.wake();
         });
@@ -396,24 +397,3 @@
         }
     }
 }
-
-/// Runs a closure when dropped, unless disarmed.
-struct Guard<F: FnMut()>(Option<F>);
-
-fn scopeguard<F: FnMut()>(run: F) -> Guard<F> {
-    Guard(Some(run))
-}
-
-impl<F: FnMut()> Guard<F> {
-    fn disarm(mut self) {
-        self.0 = None;
-    }
-}
-
-impl<F: FnMut()> Drop for Guard<F> {
-    fn drop(&mut self) {
-        if let Some(mut run) = self.0.take() {
-            run();
-        }
-    }
-}
