--- /dev/null
+++ b/crates/gateway/tests/view_age.rs
@@ -0,0 +1,31 @@
+//! Tests of the age of a view that is renewed by the store's revision alone.
+
+use std::time::Duration;
+
+use magnoliahatch_gateway::model::kind::Kind;
+use magnoliahatch_gateway::model::object::Listing;
+use magnoliahatch_gateway::view::view_state::ViewState;
+
+const KIND: Kind = Kind::Primaries;
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Guards against a view that counts as current although the store has changed since its list, or
+/// was never listed; and against one that grows old while the store has not changed.
+#[test]
+fn list_is_current_while_the_store_has_its_revision() {
+    let mut view = ViewState::default();
+    assert!(!view.on_revision(KIND, 0, millis(100)));
+    assert_eq!(view.age(&[KIND], millis(100)), None);
+    let listing = Listing {
+        objects: Vec::new(),
+        revision: 7,
+    };
+    view.on_listing(KIND, listing, millis(200), millis(210));
+    assert!(view.on_revision(KIND, 7, millis(700)));
+    assert_eq!(view.age(&[KIND], millis(900)), Some(millis(200)));
+    assert!(!view.on_revision(KIND, 8, millis(1200)));
+    assert_eq!(view.age(&[KIND], millis(1300)), Some(millis(600)));
+}
