Pass over a broker that does not answer

Cause: borrowers of a limit asked the broker chosen by rendezvous hashing among the peers with a valid lease.

Change: a lender that leaves requests unanswered for 600 ms is passed over for 3 s. A host that gets borrow requests collects unused floors also if it is not the first choice. What a lender grants is still bounded by what it holds, so two brokers cannot exceed a limit.

--- a/crates/core/src/loan.rs
+++ b/crates/core/src/loan.rs
@@ -18,6 +18,12 @@
 /// Maximum number of requests that may still be answered; older ones are forgotten.
 const MAX_SENT_REQUESTS: usize = 64;
 
+/// Time without an answer after which a lender is passed over. Lenders answer at once, and requests
+/// are repeated within this time.
+const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+/// A lender that was passed over may be asked again after this time.
+const RETRY_INTERVAL: Duration = Duration::from_secs(3);
+
 /// A borrower's request to one lender for one limit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoanRequest {
@@ -143,6 +149,8 @@
     sent_requests: BTreeMap<LoanId, Duration>,
     pub last_sent: Option<Duration>,
     pub last_demand: Amount,
+    /// When the first request was sent that got no answer, if none was answered since.
+    unanswered_since: Option<Duration>,
 }
 
 impl Borrowed {
@@ -152,6 +160,10 @@
         while self.sent_requests.len() > MAX_SENT_REQUESTS {
             self.sent_requests.pop_first();
         }
+        if self.may_retry(now) {
+            self.unanswered_since = None;
+        }
+        self.unanswered_since.get_or_insert(now);
         self.last_sent = Some(now);
         self.last_demand = demand;
         LoanRequest {
@@ -161,11 +173,25 @@
         }
     }
 
+    /// Whether the lender has left requests unanswered for `SILENCE_LIMIT`, and is not tried again
+    /// yet.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        let silent = self
+            .unanswered_since
+            .is_some_and(|at| now >= at + SILENCE_LIMIT);
+        silent && !self.may_retry(now)
+    }
+
+    fn may_retry(&self, now: Duration) -> bool {
+        self.last_sent.is_none_or(|at| now >= at + RETRY_INTERVAL)
+    }
+
     /// Processes a grant. Duplicate, unknown and superseded grants are ignored.
     pub fn on_grant(&mut self, grant: &LoanGrant, now: Duration) {
         let Some(sent) = self.sent_requests.remove(&grant.id) else {
             return;
         };
+        self.unanswered_since = None;
         let newest_id = self.pending.as_ref().map_or(self.adopted.id, |n| n.id);
         let until = sent + grant.duration;
         if grant.id <= newest_id || until <= now || !grant.amount.is_valid() {
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -7,6 +7,21 @@
         .max_by_key(|host| (score(task, host), std::cmp::Reverse(*host)))
 }
 
+/// The hosts with the highest scores for a task, at most `count`, in order of preference.
+pub fn ranking<'a>(
+    task: &str,
+    hosts: impl IntoIterator<Item = &'a str>,
+    count: usize,
+) -> Vec<String> {
+    let mut scored: Vec<_> = hosts
+        .into_iter()
+        .map(|host| (std::cmp::Reverse(score(task, host)), host))
+        .collect();
+    scored.sort_unstable();
+    let best = scored.into_iter().take(count);
+    best.map(|(_, host)| host.to_owned()).collect()
+}
+
 /// FNV-1a with a final mixing step. All hosts must compute the same scores, so the standard hasher
 /// is not used: its result may change between Rust releases.
 fn score(task: &str, host: &str) -> u64 {
--- a/crates/core/src/renewal.rs
+++ b/crates/core/src/renewal.rs
@@ -50,12 +50,15 @@
             if demand <= 0.0 && !brokering && share.is_idle(now) {
                 continue;
             }
-            let hosts = peers.iter().map(String::as_str).chain([host.as_str()]);
+            // A broker may be lost long before its lease ends. It does no harm if two hosts lend
+            // parts of one limit, since each lends only what it holds.
+            let responsive = peers.iter().filter(|p| !share.is_silent(p, now));
+            let hosts = responsive.map(String::as_str).chain([host.as_str()]);
             let Some(owner) = rendezvous::owner(&limit.owner_key(), hosts).map(str::to_owned)
             else {
                 continue;
             };
-            if owner != host {
+            if owner != host && !brokering {
                 if borrow_due(share, &owner, demand, limit.unit(), now) {
                     self.next_id += 1;
                     let demand = Amount::new(demand, 0.0);
@@ -67,7 +70,8 @@
                 }
                 continue;
             }
-            if demand > 0.0 {
+            // Otherwise a host that stood in for the owner would do so for as long as it has demand.
+            if demand > 0.0 && owner == host {
                 entry.last_borrow_demand = Some(now);
             }
             if entry
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -300,6 +300,12 @@
         Some((loan.last_sent?, loan.last_demand))
     }
 
+    /// Whether a lender leaves this host's requests unanswered.
+    pub fn is_silent(&self, from: &str, now: Duration) -> bool {
+        let loan = self.borrowed.get(from);
+        loan.is_some_and(|b| b.is_silent(now))
+    }
+
     /// Builds a request to a lender.
     pub fn request(
         &mut self,
