Request tokens by demand, and start from relays of the own data centre

At the start hosts fetched their first view from other regions, and relays that followers asked took themselves for store watchers and read the store (142 calls each until 1 s).

Change: a host asks for the tokens that it uses within half of their lifetime (policy::token_demand); a host that starts asks the relays of its data centre; a call for the view tells as what the called host is asked; a host that comes after the store watcher polls every 200 ms.

--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -59,6 +59,7 @@
     /// Requests the age of the store's content, and the content itself where it is newer than these
     /// revisions. The answer may be delayed up to `max_wait` until there is a change.
     View {
+        role: SourceRole,
         known: Vec<(ObjectKind, Revision)>,
         max_wait: Duration,
     },
@@ -89,6 +90,17 @@
     }
 }
 
+/// As what a host asks another one for its view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SourceRole {
+    /// The caller relies on the called host to watch the store.
+    StoreWatcher,
+    /// The caller relies on the called host to follow the store watcher.
+    Relay,
+    /// The caller does not rely on the called host.
+    Peer,
+}
+
 /// What a host knows about the objects of one kind.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KindReport {
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -139,7 +139,14 @@
         Call::ReadFloor { service } => {
             Response::ReadFloor(node.floors.observe(node, &service).await)
         }
-        Call::View { known, max_wait } => node.reports.report(node, from, &known, max_wait).await,
+        Call::View {
+            role,
+            known,
+            max_wait,
+        } => {
+            node.reports.on_request(from, role);
+            node.reports.report(node, &known, max_wait).await
+        }
         Call::Quiesce { service, revision } => {
             Response::Quiesced(node.quiesce(&service, revision).await)
         }
--- a/crates/gateway/src/model/object.rs
+++ b/crates/gateway/src/model/object.rs
@@ -36,14 +36,6 @@
     pub revision: Revision,
 }
 
-/// The first page of a list.
-#[derive(Debug, Clone, PartialEq)]
-pub struct FirstPage {
-    pub objects: Vec<Object>,
-    /// Whether there is no further page.
-    pub complete: bool,
-}
-
 /// A change of one object.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -14,7 +14,6 @@
 use crate::model::member_status::MemberStatus;
 use crate::model::object::Changes;
 use crate::model::object::Content;
-use crate::model::object::FirstPage;
 use crate::model::object::Listing;
 use crate::model::object::Object;
 use crate::model::reply::Reply;
@@ -56,8 +55,12 @@
     /// Lists all objects of a kind.
     fn list(&self, kind: ObjectKind) -> impl Future<Output = Result<Listing, StoreError>>;
 
-    /// Reads the first page of the list of a kind.
-    fn first_page(&self, kind: ObjectKind) -> impl Future<Output = Result<FirstPage, StoreError>>;
+    /// Reads one page of the list of a kind, of the objects whose names follow `after`.
+    fn page(
+        &self,
+        kind: ObjectKind,
+        after: &str,
+    ) -> impl Future<Output = Result<Vec<Object>, StoreError>>;
 
     /// Returns the current revision of the whole store.
     fn revision(&self) -> impl Future<Output = Result<Revision, StoreError>>;
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -18,4 +18,5 @@
 pub mod store_admission;
 pub mod store_watchers;
 pub mod successor;
+pub mod token_demand;
 pub mod view_tiers;
--- a/crates/gateway/src/policy/store_watchers.rs
+++ b/crates/gateway/src/policy/store_watchers.rs
@@ -27,11 +27,14 @@
 
 impl StoreWatcherChoice {
     /// Returns the candidate to use now, or `None` if all failed recently.
-    pub fn choose(&mut self, candidates: &[HostId], now: Duration) -> Option<HostId> {
+    pub fn choose<'a>(
+        &mut self,
+        mut candidates: impl Iterator<Item = &'a HostId>,
+        now: Duration,
+    ) -> Option<HostId> {
         self.failed
             .retain(|_, at| now.saturating_sub(*at) < SKIP_TIME);
-        let mut remaining = candidates.iter();
-        remaining
+        candidates
             .find(|host| !self.failed.contains_key(*host))
             .cloned()
     }
--- a/crates/gateway/src/policy/view_tiers.rs
+++ b/crates/gateway/src/policy/view_tiers.rs
@@ -23,7 +23,7 @@
 /// timeout of the watcher's poll plus the times of both tiers must stay below the age from which a
 /// view is stale.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(600);
-/// The same for a relay.
+/// The same for a relay, and for a host that comes after the store watcher.
 const RELAY_POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which changes of the list of hosts are gathered before they are passed on, for each
 /// host of the fleet. In a rolling restart of a large fleet hosts come and go all the time.
@@ -34,8 +34,8 @@
 pub struct FollowPlan {
     /// Hosts that may watch the store for all, in order of preference.
     pub watchers: Vec<HostId>,
-    /// Hosts to follow, in order of preference.
-    pub sources: Vec<HostId>,
+    /// Relays to follow, in order of preference, before the store watchers.
+    pub relays: Vec<HostId>,
     /// How long a request may be held open.
     pub poll_timeout: Duration,
     /// Hosts whose registration this host removes when they have ended.
@@ -54,26 +54,21 @@
     let watchers = store_watchers::candidates(largest);
     let is_watcher = watchers.first().is_some_and(|first| first == own);
     let direct = live.len() <= MAX_DIRECT_FOLLOWERS;
-    let relays = |centre: &str| {
+    let relays_of = |centre: &str| {
         if direct {
             return Vec::new();
         }
-        let local = live.iter().filter(|h| h.data_centre == centre);
-        let largest = duty_hosts::largest(local).map(|h| h.host.as_str());
-        rendezvous::ranking(RELAY_KEY, largest, RELAY_COUNT)
+        relays(live.iter().filter(|h| h.data_centre == centre))
     };
-    let own_relays = relays(data_centre);
+    let own_relays = relays_of(data_centre);
     let is_relay = own_relays.iter().any(|relay| relay == own);
-    let follows_watchers = direct || is_relay || watchers.iter().any(|w| w == own);
-    let sources = match follows_watchers {
-        true => watchers.clone(),
-        false => own_relays.iter().chain(&watchers).cloned().collect(),
-    };
+    let is_candidate = watchers.iter().any(|w| w == own);
+    let follows_watchers = direct || is_relay || is_candidate;
     let mut cleaner_of = std::collections::BTreeMap::new();
     let cleans = registered.filter(|(host, centre)| {
         let cleaner = cleaner_of
             .entry((*centre).to_owned())
-            .or_insert_with(|| relays(centre).into_iter().next());
+            .or_insert_with(|| relays_of(centre).into_iter().next());
         let is_cleaner = match cleaner {
             Some(relay) => relay == own,
             None => is_watcher,
@@ -82,15 +77,31 @@
     });
     FollowPlan {
         cleans: cleans.map(|(host, _)| host.clone()).collect(),
-        sources,
+        relays: match follows_watchers {
+            true => Vec::new(),
+            false => own_relays,
+        },
         watchers,
-        poll_timeout: match is_relay {
+        poll_timeout: match is_relay || is_candidate {
             true => RELAY_POLL_TIMEOUT,
             false => LONG_POLL_TIMEOUT,
         },
     }
 }
 
+/// Returns the relays among the hosts of a data centre, in order of preference.
+pub fn relays<'a>(local: impl Iterator<Item = &'a Candidate> + Clone) -> Vec<HostId> {
+    let largest = duty_hosts::largest(local).map(|h| h.host.as_str());
+    rendezvous::ranking(RELAY_KEY, largest, RELAY_COUNT)
+}
+
+impl FollowPlan {
+    /// Hosts to follow, in order of preference.
+    pub fn sources(&self) -> impl Iterator<Item = &HostId> {
+        self.relays.iter().chain(&self.watchers)
+    }
+}
+
 /// How long changes of the list of hosts are gathered in a fleet of this size.
 pub fn gather_time(hosts: u32) -> Duration {
     GATHER_TIME_PER_HOST.saturating_mul(hosts)
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -18,9 +18,8 @@
 use crate::policy::quota::QuotaTable;
 use crate::policy::requesting_hosts::RequestingHosts;
 use crate::policy::restart;
+use crate::policy::token_demand::TokenDemand;
 
-/// Tokens requested in one call. Those left over serve the next operations without a call.
-const TOKEN_BATCH: u32 = 2;
 /// Unused tokens are dropped after this time, so that they are not used long after the window in
 /// which they were granted.
 const TOKEN_LIFETIME: Duration = Duration::from_millis(500);
@@ -34,6 +33,7 @@
     table: RefCell<QuotaTable>,
     unused: RefCell<BTreeMap<OrganisationId, (u32, Duration)>>,
     callers: RefCell<BTreeMap<OrganisationId, RequestingHosts>>,
+    demands: RefCell<BTreeMap<OrganisationId, TokenDemand>>,
 }
 
 impl QuotaTokens {
@@ -88,6 +88,12 @@
 
     /// Takes one token for an operation. Returns whether there was one.
     pub async fn take<P: Platform>(&self, node: &Rc<Node<P>>, organisation: &str) -> bool {
+        let batch = {
+            let mut demands = self.demands.borrow_mut();
+            let demand = demands.entry(organisation.to_owned()).or_default();
+            demand.record(clock::now());
+            demand.batch(TOKEN_LIFETIME)
+        };
         if self.take_unused(organisation) {
             return true;
         }
@@ -98,7 +104,8 @@
             Some(owner) if owner != node.settings.host => {
                 let call = Call::Tokens {
                     organisation: organisation.to_owned(),
-                    count: TOKEN_BATCH,
+                    // Those left over serve the next operations without a call.
+                    count: batch,
                 };
                 match node.mesh.call(owner, call, CALL_TIMEOUT).await {
                     Ok(Response::Tokens(granted)) => granted,
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliahatch_core::ids::Revision;
 use rand::seq::SliceRandom;
 
 use crate::clock;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
+use crate::mesh::frame::SourceRole;
 use crate::model::kind::ObjectKind;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -186,13 +188,18 @@
     let mut choice = StoreWatcherChoice::default();
     loop {
         let hosts = node.hosts();
-        let source = choice.choose(&hosts.plan.sources, clock::now());
+        let source = choice.choose(hosts.plan.sources(), clock::now());
         let Some(source) = source.filter(|r| *r != node.settings.host) else {
             tokio::time::sleep(STALENESS_CHECK_INTERVAL).await;
             continue;
         };
         let known = node.view.borrow().content_revisions();
-        let answered = request_view(&node, &source, known, hosts.plan.poll_timeout).await;
+        let role = match hosts.plan.relays.contains(&source) {
+            true => SourceRole::Relay,
+            false => SourceRole::StoreWatcher,
+        };
+        let wait = hosts.plan.poll_timeout;
+        let answered = request_view(&node, &source, role, known, wait).await;
         if !answered || is_older_than(&node, SOURCE_AGE_LIMIT) {
             tracing::info!(
                 event = 618,
@@ -217,7 +224,8 @@
         hosts.retain(|h| *h != node.settings.host);
         hosts.shuffle(&mut rand::rng());
         let peers = hosts.iter().take(PEER_COUNT);
-        let calls = peers.map(|host| request_view(&node, host, known.clone(), Duration::ZERO));
+        let calls = peers
+            .map(|host| request_view(&node, host, SourceRole::Peer, known.clone(), Duration::ZERO));
         futures::future::join_all(calls).await;
     }
 }
@@ -259,11 +267,16 @@
 pub async fn request_view<P: Platform>(
     node: &Rc<Node<P>>,
     host: &str,
-    known: Vec<(ObjectKind, u64)>,
+    role: SourceRole,
+    known: Vec<(ObjectKind, Revision)>,
     max_wait: Duration,
 ) -> bool {
     let sent = clock::now();
-    let call = Call::View { known, max_wait };
+    let call = Call::View {
+        role,
+        known,
+        max_wait,
+    };
     let answer = node
         .mesh
         .call(host, call, max_wait + PEER_CALL_TIMEOUT)
--- a/crates/gateway/src/view/startup.rs
+++ b/crates/gateway/src/view/startup.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliahatch_core::ids::HostId;
 use rand::seq::SliceRandom;
 
 use crate::clock;
+use crate::mesh::frame::SourceRole;
 use crate::model::kind::ObjectKind;
 use crate::model::object::Content;
-use crate::model::object::FirstPage;
+use crate::model::object::Object;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::platform::Store;
@@ -24,9 +26,7 @@
 const PEER_LIMIT: Duration = Duration::from_millis(900);
 /// How long a peer may hold a request until its own view is complete.
 const PEER_WAIT: Duration = Duration::from_millis(300);
-/// Number of peers asked at the same time.
-const PEER_COUNT: usize = 2;
-/// Pause after no peer answered.
+/// Pause after the peers were asked once.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Asks peers for their view if the fleet is large; then lets this host read the store.
@@ -34,23 +34,26 @@
     if node.settings.first_start {
         tokio::time::sleep(FIRST_REGISTRATION_TIME).await;
     }
-    let page = first_page(&node).await;
-    let hosts = candidates(&node, &page);
-    let plan = start_plan::plan(&node.settings.host, &hosts, page.complete);
-    if let StartPlan::AskPeers(peers) = &plan {
+    let page = read_page(&node).await;
+    let local = local_hosts(&node, &page);
+    let plan = start_plan::plan(&node.settings.host, &local);
+    if let StartPlan::AskPeers(relays) = &plan {
         set_mesh_hosts(&node, &page);
-        ask_peers(&node, peers).await;
+        let others = local.into_iter().map(|c| c.host);
+        let others = others.filter(|host| *host != node.settings.host);
+        ask_peers(&node, relays, others.collect()).await;
     }
     let complete = node.view.borrow().is_complete(clock::now());
     tracing::info!(event = 686, ?plan, complete, "first view requested");
     node.admission.borrow_mut().on_started();
 }
 
-/// Reads the first page of the list of hosts, trying again until the store answers.
-async fn first_page<P: Platform>(node: &Rc<Node<P>>) -> FirstPage {
+/// Reads a page of the list of hosts, trying again until the store answers.
+async fn read_page<P: Platform>(node: &Rc<Node<P>>) -> Vec<Object> {
     let mut backoff = Backoff::default();
+    let start = start_plan::page_start(&node.settings.host);
     loop {
-        match node.store.first_page(ObjectKind::Hosts).await {
+        match node.store.page(ObjectKind::Hosts, start).await {
             Ok(page) => return page,
             Err(error) => {
                 if !backoff.is_failing() {
@@ -62,12 +65,14 @@
     }
 }
 
-fn candidates<P: Platform>(node: &Rc<Node<P>>, page: &FirstPage) -> Vec<Candidate> {
-    let hosts = page.objects.iter().filter_map(|o| match &o.content {
+/// Registered hosts of this host's data centre.
+fn local_hosts<P: Platform>(node: &Rc<Node<P>>, page: &[Object]) -> Vec<Candidate> {
+    let hosts = page.iter().filter_map(|o| match &o.content {
         Some(Content::Host(entry)) => Some((&o.name, entry)),
         _ => None,
     });
     hosts
+        .filter(|(_, entry)| entry.data_centre == node.settings.data_centre)
         .map(|(name, entry)| Candidate {
             host: name.clone(),
             data_centre: entry.data_centre.clone(),
@@ -79,26 +84,28 @@
 
 /// Makes the hosts of the page known to the mesh, whatever process runs there now: in a restart of
 /// the fleet the entries may be older than the processes.
-fn set_mesh_hosts<P: Platform>(node: &Rc<Node<P>>, page: &FirstPage) {
-    let hosts = page.objects.iter().filter_map(|o| match &o.content {
+fn set_mesh_hosts<P: Platform>(node: &Rc<Node<P>>, page: &[Object]) {
+    let hosts = page.iter().filter_map(|o| match &o.content {
         Some(Content::Host(entry)) if o.name != node.settings.host => Some((&o.name, entry.mesh)),
         _ => None,
     });
     node.mesh.set_unverified_hosts(hosts);
 }
 
-async fn ask_peers<P: Platform>(node: &Rc<Node<P>>, peers: &[String]) {
+/// Asks the relays, and other hosts of the data centre once a relay has not answered.
+async fn ask_peers<P: Platform>(node: &Rc<Node<P>>, relays: &[HostId], mut others: Vec<HostId>) {
     let deadline = clock::now() + PEER_LIMIT;
     let is_complete = || node.view.borrow().is_complete(clock::now());
-    let mut peers = peers.to_vec();
+    let mut asked = relays.to_vec();
     while clock::now() < deadline && !is_complete() {
-        peers.shuffle(&mut rand::rng());
         let known = node.view.borrow().content_revisions();
-        let asked = peers.iter().take(PEER_COUNT);
-        let calls = asked.map(|host| follower::request_view(node, host, known.clone(), PEER_WAIT));
-        let answers = futures::future::join_all(calls).await;
-        if !answers.contains(&true) {
+        let Some(host) = asked.pop() else {
+            others.shuffle(&mut rand::rng());
+            asked.extend(relays.iter().cloned());
+            asked.extend(others.first().cloned());
             tokio::time::sleep(RETRY_PAUSE).await;
-        }
+            continue;
+        };
+        follower::request_view(node, &host, SourceRole::Peer, known, PEER_WAIT).await;
     }
 }
--- a/crates/gateway/src/view/view_reports.rs
+++ b/crates/gateway/src/view/view_reports.rs
@@ -11,13 +11,14 @@
 use crate::clock;
 use crate::mesh::frame::KindReport;
 use crate::mesh::frame::Response;
+use crate::mesh::frame::SourceRole;
 use crate::model::kind::ObjectKind;
 use crate::model::object::Content;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::policy::view_tiers;
 
-/// A host that received a long poll within this time is followed by others.
+/// A host that was asked as the store watcher within this time watches the store.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Maximum number of routes and keys in a configuration that hosts send each other, about 60 KB.
 /// Larger ones are read from the store.
@@ -27,8 +28,8 @@
 #[derive(Debug, Default)]
 pub struct ViewReports {
     last_requests: RefCell<BTreeMap<HostId, Duration>>,
-    /// When a host last sent a long poll.
-    last_long_poll: Cell<Option<Duration>>,
+    /// When a host last asked this one as the store watcher.
+    last_follower: Cell<Option<Duration>>,
 }
 
 impl ViewReports {
@@ -37,10 +38,19 @@
         self.last_requests.borrow().get(host).copied()
     }
 
-    /// Returns whether a host sent a long poll recently.
+    /// Returns whether others rely on this host to watch the store.
     pub fn has_followers(&self) -> bool {
         let recent = |at| clock::now().saturating_sub(at) < FOLLOWER_TIMEOUT;
-        self.last_long_poll.get().is_some_and(recent)
+        self.last_follower.get().is_some_and(recent)
+    }
+
+    /// Records a request of another host.
+    pub fn on_request(&self, from: &str, role: SourceRole) {
+        let now = clock::now();
+        self.last_requests.borrow_mut().insert(from.to_owned(), now);
+        if role == SourceRole::StoreWatcher {
+            self.last_follower.set(Some(now));
+        }
     }
 
     /// Reports the view to another host; waits up to `max_wait` until there is something the host
@@ -48,17 +58,10 @@
     pub async fn report<P: Platform>(
         &self,
         node: &Node<P>,
-        from: &str,
         known: &[(ObjectKind, Revision)],
         max_wait: Duration,
     ) -> Response {
         let start = clock::now();
-        self.last_requests
-            .borrow_mut()
-            .insert(from.to_owned(), start);
-        if !max_wait.is_zero() {
-            self.last_long_poll.set(Some(start));
-        }
         let mut changed = node.changed.subscribe();
         let change = async {
             loop {
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -273,11 +273,17 @@
     let names: Vec<String> = (0..9).map(|n| format!("h{n}")).collect();
     let order = store_watchers::candidates(names.iter().map(String::as_str));
     let mut choice = StoreWatcherChoice::default();
-    assert_eq!(choice.choose(&order, millis(0)).as_ref(), Some(&order[0]));
+    assert_eq!(
+        choice.choose(order.iter(), millis(0)).as_ref(),
+        Some(&order[0])
+    );
     choice.on_failure(order[0].clone(), millis(0));
-    assert_eq!(choice.choose(&order, millis(10)).as_ref(), Some(&order[1]));
     assert_eq!(
-        choice.choose(&order, millis(9000)).as_ref(),
+        choice.choose(order.iter(), millis(10)).as_ref(),
+        Some(&order[1])
+    );
+    assert_eq!(
+        choice.choose(order.iter(), millis(9000)).as_ref(),
         Some(&order[0])
     );
 }
