--- a/crates/gateway/src/mesh/mesh_handle.rs
+++ b/crates/gateway/src/mesh/mesh_handle.rs
@@ -71,10 +71,12 @@
     }
 
     /// Sets the other hosts. Connections to hosts that were removed, or whose address or
-    /// incarnation changed, are no longer used.
+    /// incarnation changed, are no longer used. Unverified hosts are kept while the list is not
+    /// `complete`.
     pub fn set_hosts<'a>(
         &self,
         hosts: impl Iterator<Item = (&'a HostId, SocketAddr, Incarnation)>,
+        complete: bool,
     ) {
         let mut peers = self.peers.borrow_mut();
         let mut known: BTreeMap<HostId, Peer> = BTreeMap::new();
@@ -88,6 +90,10 @@
             }
             known.insert(host.clone(), peer);
         }
+        if !complete {
+            peers.retain(|_, peer| peer.incarnation.is_none());
+            known.append(&mut peers);
+        }
         *peers = known;
         self.revision.set(self.revision.get() + 1);
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -129,8 +129,9 @@
             if self.mesh_hosts.replace(view.hosts_changes()) != view.hosts_changes() {
                 let hosts = view.hosts().into_iter();
                 let others = hosts.filter(|(id, _)| **id != self.settings.host);
-                self.mesh
-                    .set_hosts(others.map(|(id, entry)| (id, entry.mesh, entry.incarnation)));
+                let others = others.map(|(id, entry)| (id, entry.mesh, entry.incarnation));
+                let complete = view.age(&[ObjectKind::Hosts], clock::now()).is_some();
+                self.mesh.set_hosts(others, complete);
             }
             let now = clock::now();
             self.pools
--- a/crates/gateway/src/view/startup.rs
+++ b/crates/gateway/src/view/startup.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use magnoliahatch_core::ids::HostId;
 use rand::seq::SliceRandom;
 
@@ -23,10 +25,12 @@
 /// At the first start of the whole system, time until the other hosts have registered.
 const FIRST_REGISTRATION_TIME: Duration = Duration::from_millis(700);
 /// How long peers are asked before this host reads the store itself.
-const PEER_LIMIT: Duration = Duration::from_millis(900);
+const PEER_LIMIT: Duration = Duration::from_millis(700);
 /// How long a peer may hold a request until its own view is complete.
 const PEER_WAIT: Duration = Duration::from_millis(300);
-/// Pause after the peers were asked once.
+/// Number of peers asked at the same time.
+const PEER_COUNT: usize = 4;
+/// Time after which a host that cannot be reached is replaced by the next one.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Asks peers for their view if the fleet is large; then lets this host read the store.
@@ -41,7 +45,9 @@
         set_mesh_hosts(&node, &page);
         let others = local.into_iter().map(|c| c.host);
         let others = others.filter(|host| *host != node.settings.host);
-        ask_peers(&node, relays, others.collect()).await;
+        let asked = ask_peers(&node, relays, others.collect());
+        // Without an answer this host reads the store.
+        let _ = tokio::time::timeout(PEER_LIMIT, asked).await;
     }
     let complete = node.view.borrow().is_complete(clock::now());
     tracing::info!(event = 686, ?plan, complete, "first view requested");
@@ -92,20 +98,33 @@
     node.mesh.set_unverified_hosts(hosts);
 }
 
-/// Asks the relays, and other hosts of the data centre once a relay has not answered.
+/// Asks relays and other hosts of the data centre in turn, a few at a time: in a restart of the
+/// fleet some of them are not running yet, and calls to those take long to fail.
 async fn ask_peers<P: Platform>(node: &Rc<Node<P>>, relays: &[HostId], mut others: Vec<HostId>) {
-    let deadline = clock::now() + PEER_LIMIT;
-    let is_complete = || node.view.borrow().is_complete(clock::now());
-    let mut asked = relays.to_vec();
-    while clock::now() < deadline && !is_complete() {
-        let known = node.view.borrow().content_revisions();
-        let Some(host) = asked.pop() else {
-            others.shuffle(&mut rand::rng());
-            asked.extend(relays.iter().cloned());
-            asked.extend(others.first().cloned());
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
+    others.shuffle(&mut rand::rng());
+    let mut relays = relays.iter().cycle();
+    let mut others = others.iter().cycle();
+    let mut calls = FuturesUnordered::new();
+    for index in 0.. {
+        let peer = match index % 2 {
+            0 => relays.next(),
+            _ => others.next(),
         };
-        follower::request_view(node, &host, SourceRole::Peer, known, PEER_WAIT).await;
+        calls.extend(peer.map(|host| ask_peer(node, host)));
+        if calls.len() < PEER_COUNT {
+            continue;
+        }
+        calls.next().await;
+        if node.view.borrow().is_complete(clock::now()) {
+            return;
+        }
     }
 }
+
+/// Asks one host. Takes at least a moment, so that a host that cannot be reached is not asked again
+/// at once.
+async fn ask_peer<P: Platform>(node: &Rc<Node<P>>, host: &str) {
+    let known = node.view.borrow().content_revisions();
+    let call = follower::request_view(node, host, SourceRole::Peer, known, PEER_WAIT);
+    futures::join!(call, tokio::time::sleep(RETRY_PAUSE));
+}
