--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -23,6 +23,13 @@
 /// Unused tokens are dropped after this time, so that they are not used long after the window in
 /// which they were granted.
 const TOKEN_LIFETIME: Duration = Duration::from_millis(500);
+/// Age up to which a process counts as starting.
+const START_TIME: Duration = Duration::from_secs(4);
+/// How long an operation then waits for the owner of its rate to be reached. After a restart of the
+/// fleet the hosts find each other within this time.
+const OWNER_WAIT: Duration = Duration::from_millis(600);
+/// Pause between attempts to reach the owner.
+const OWNER_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of a call for tokens, far above the longest round trip between regions.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -86,7 +93,8 @@
         self.take_local(node, organisation, share, count)
     }
 
-    /// Takes one token for an operation. Returns whether there was one.
+    /// Takes one token for an operation. Returns whether there was one. A host that has just started
+    /// tries for a short time to reach the owner of the rate, which may be starting as well.
     pub async fn take<P: Platform>(&self, node: &Rc<Node<P>>, organisation: &str) -> bool {
         let batch = {
             let mut demands = self.demands.borrow_mut();
@@ -97,6 +105,26 @@
         if self.take_unused(organisation) {
             return true;
         }
+        let starting = node.age() < START_TIME;
+        let deadline = clock::now() + OWNER_WAIT;
+        loop {
+            match self.request(node, organisation, batch).await {
+                Some(granted) => return granted > 0,
+                None if !starting => return false,
+                None if clock::now() + OWNER_RETRY_PAUSE >= deadline => return false,
+                None => tokio::time::sleep(OWNER_RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Requests tokens and uses one of them. Returns how many were granted, or `None` if the owner
+    /// of the rate cannot be reached and this host's own part is used up.
+    async fn request<P: Platform>(
+        &self,
+        node: &Rc<Node<P>>,
+        organisation: &str,
+        count: u32,
+    ) -> Option<u32> {
         // All hosts must choose the same owner, so hosts that cannot be reached count as well.
         let hosts = node.hosts();
         let owner = rate_owner(organisation, &hosts);
@@ -105,14 +133,15 @@
                 let call = Call::Tokens {
                     organisation: organisation.to_owned(),
                     // Those left over serve the next operations without a call.
-                    count: batch,
+                    count,
                 };
                 match node.mesh.call(owner, call, CALL_TIMEOUT).await {
                     Ok(Response::Tokens(granted)) => granted,
                     answer => {
                         tracing::debug!(event = 640, owner, ?answer, "rate owner did not answer");
                         let part = 1.0 / f64::from(hosts.count);
-                        self.take_local(node, organisation, part, 1)
+                        let granted = self.take_local(node, organisation, part, 1);
+                        return (granted > 0).then_some(granted);
                     }
                 }
             }
@@ -124,7 +153,7 @@
                 .borrow_mut()
                 .insert(organisation.to_owned(), entry);
         }
-        granted > 0
+        Some(granted)
     }
 
     fn take_unused(&self, organisation: &str) -> bool {
