Replace a primary only with a current view of the records

Change: a host whose copy of the records is older than 2.5 s neither judges a primary nor continues a change; the next in order monitors the service.

--- a/crates/gateway/src/failover/primary_monitor.rs
+++ b/crates/gateway/src/failover/primary_monitor.rs
@@ -33,6 +33,9 @@
 const HOME_CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of the calls to other hosts, which includes the time for a host to ask the primary.
 const REACH_CALL_TIMEOUT: Duration = Duration::from_millis(450);
+/// Age of the view up to which a host replaces primaries. Above the age at which a host in contact
+/// with the others learns of changes.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(2500);
 /// Hosts that stand by for each service, including the one that monitors it.
 const MONITOR_COUNT: usize = 3;
 /// Pause between the calls of a host that stands by.
@@ -73,7 +76,7 @@
         let exists = known.is_some_and(|c| c.services.contains_key(&service));
         let ranking = monitors(&node, &service);
         let rank = ranking.iter().position(|h| *h == node.settings.host);
-        if !exists || node.is_stopping() || rank != Some(0) {
+        if !exists || node.is_stopping() || rank != Some(0) || !has_current_view(&node) {
             trigger = FailoverTrigger::default();
             change = None;
             if let Some(rank) = rank.filter(|_| exists) {
@@ -85,6 +88,14 @@
     }
 }
 
+/// Whether this host knows the present records. A host that is cut off reaches no primary,
+/// and would begin to replace one as soon as it reaches the store again.
+fn has_current_view<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    let view = node.view.borrow();
+    let age = view.age(&[ObjectKind::Primaries], clock::now());
+    age.is_some_and(|age| age <= MAX_VIEW_AGE)
+}
+
 /// Hosts that monitor a service, in order: the next one does if the first is not reached.
 fn monitors<P: Platform>(node: &Rc<Node<P>>, service: &str) -> Vec<HostId> {
     let hosts = node.hosts();
