--- a/crates/gateway/src/policy/view_tiers.rs
+++ b/crates/gateway/src/policy/view_tiers.rs
@@ -4,6 +4,7 @@
 //! other hosts follow a relay of their own data centre. No host answers more than one data centre,
 //! and a change crosses each path between data centres twice.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::HostId;
@@ -52,41 +53,49 @@
 ) -> FollowPlan {
     let largest = duty_hosts::largest(live.iter()).map(|h| h.host.as_str());
     let watchers = store_watchers::candidates(largest);
-    let is_watcher = watchers.first().is_some_and(|first| first == own);
-    let direct = live.len() <= MAX_DIRECT_FOLLOWERS;
-    let relays_of = |centre: &str| {
-        if direct {
-            return Vec::new();
-        }
-        relays(live.iter().filter(|h| h.data_centre == centre))
-    };
-    let own_relays = relays_of(data_centre);
-    let is_relay = own_relays.iter().any(|relay| relay == own);
-    let is_candidate = watchers.iter().any(|w| w == own);
-    let follows_watchers = direct || is_relay || is_candidate;
-    let mut cleaner_of = std::collections::BTreeMap::new();
-    let cleans = registered.filter(|(host, centre)| {
-        let cleaner = cleaner_of
-            .entry((*centre).to_owned())
-            .or_insert_with(|| relays_of(centre).into_iter().next());
-        let is_cleaner = match cleaner {
-            Some(relay) => relay == own,
-            None => is_watcher,
-        };
-        is_cleaner && host.as_str() != own
-    });
+    let own_relays = relays_of(data_centre, live);
+    let is_own = |host: &HostId| host == own;
+    let may_replace_watcher = watchers.iter().any(is_own);
+    let polls_often = may_replace_watcher || own_relays.iter().any(is_own);
+    let cleans = cleaned_hosts(own, &watchers, live, registered);
     FollowPlan {
-        cleans: cleans.map(|(host, _)| host.clone()).collect(),
-        relays: match follows_watchers {
-            true => Vec::new(),
-            false => own_relays,
+        relays: if polls_often { Vec::new() } else { own_relays },
+        poll_timeout: if polls_often {
+            RELAY_POLL_TIMEOUT
+        } else {
+            LONG_POLL_TIMEOUT
         },
         watchers,
-        poll_timeout: match is_relay || is_candidate {
-            true => RELAY_POLL_TIMEOUT,
-            false => LONG_POLL_TIMEOUT,
-        },
+        cleans,
+    }
+}
+
+/// Returns the hosts whose registration `own` removes when they have ended: those of its data centre
+/// if it is the first relay there; those of data centres without a relay if it watches the store.
+fn cleaned_hosts<'a>(
+    own: &str,
+    watchers: &[HostId],
+    live: &[Candidate],
+    registered: impl Iterator<Item = (&'a HostId, &'a str)>,
+) -> Vec<HostId> {
+    let mut cleaners: BTreeMap<&str, Option<HostId>> = BTreeMap::new();
+    let cleans = registered.filter(|(host, centre)| {
+        let cleaner = cleaners.entry(centre).or_insert_with(|| {
+            let relay = relays_of(centre, live).into_iter().next();
+            relay.or_else(|| watchers.first().cloned())
+        });
+        cleaner.as_deref() == Some(own) && host.as_str() != own
+    });
+    cleans.map(|(host, _)| host.clone()).collect()
+}
+
+/// Returns the relays of a data centre; none in a fleet that is so small that all hosts follow the
+/// store watcher.
+fn relays_of(data_centre: &str, live: &[Candidate]) -> Vec<HostId> {
+    if live.len() <= MAX_DIRECT_FOLLOWERS {
+        return Vec::new();
     }
+    relays(live.iter().filter(|h| h.data_centre == data_centre))
 }
 
 /// Returns the relays among the hosts of a data centre, in order of preference.
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -194,9 +194,10 @@
             continue;
         };
         let known = node.view.borrow().content_revisions();
-        let role = match hosts.plan.relays.contains(&source) {
-            true => SourceRole::Relay,
-            false => SourceRole::StoreWatcher,
+        let role = if hosts.plan.relays.contains(&source) {
+            SourceRole::Relay
+        } else {
+            SourceRole::StoreWatcher
         };
         let wait = hosts.plan.poll_timeout;
         let answered = request_view(&node, &source, role, known, wait).await;
--- a/crates/gateway/tests/large_fleet.rs
+++ b/crates/gateway/tests/large_fleet.rs
@@ -29,9 +29,10 @@
             host: format!("host-{centre}-{index}"),
             data_centre: format!("dc-{centre}"),
             region: format!("region-{}", centre / 2),
-            capacity: match (index / DATA_CENTRES).is_multiple_of(LARGE_EVERY) {
-                true => LARGE,
-                false => SMALL,
+            capacity: if (index / DATA_CENTRES).is_multiple_of(LARGE_EVERY) {
+                LARGE
+            } else {
+                SMALL
             },
         }
     };
