Accept an unchanged list in place of content that a peer left out

A configuration of more than 600 routes and keys is not sent between hosts but listed from the store. Since a list without changes is no change of the content, a host that had listed it kept its lower content revision, got the same report again at once, and listed again, without end.

Change: a list that answers a report with left out objects raises the content revision.

--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -30,6 +30,9 @@
     /// showed this content.
     pub current_at: Option<Duration>,
     removals: RemovalLog,
+    /// Content revision of a peer's copy whose objects the peer left out, so that this host has to
+    /// list them.
+    missing_content: Revision,
 }
 
 impl KindView {
@@ -40,6 +43,11 @@
             return Vec::new();
         }
         if self.has_same_objects(&listing) {
+            if self.missing_content > self.content_revision {
+                // Otherwise the same report would cause this list again.
+                self.content_revision = listing.revision;
+                self.removals.restart(listing.revision);
+            }
             self.revision = listing.revision;
             self.listed_revision = listing.revision;
             self.current_at = self.current_at.max(Some(sent));
@@ -124,6 +132,7 @@
     pub fn on_report(&mut self, report: KindReport, at: Duration) -> Option<Vec<Object>> {
         let changed = report.content > self.content_revision;
         if changed && !report.complete {
+            self.missing_content = report.content;
             return None;
         }
         let mut removed = Vec::new();
--- a/crates/gateway/tests/view_delta.rs
+++ b/crates/gateway/tests/view_delta.rs
@@ -168,3 +168,32 @@
         (known, Some(NOW * 2))
     );
 }
+
+/// Load pattern: a configuration so large that hosts read it from the store. Guards against a host
+/// that lists it for each report of a peer although it has the same content (sweep of
+/// kmlsb-bullhire-large at 303 hosts: nothing was served).
+#[test]
+fn large_content_is_listed_once_for_a_report() {
+    let mut store = Store::default();
+    store.change(0, true);
+    let mut views: Vec<KindView> = (0..2).map(|_| KindView::default()).collect();
+    views[1].on_listing(store.list(), NOW);
+    store.revision += 7;
+    views[0].on_listing(store.list(), NOW);
+    let mut lists = 0;
+    for _ in 0..5 {
+        let known = views[1].content_revision;
+        let report = views[0].report(ObjectKind::Configuration, known, NOW);
+        let mut report = report.expect("a report");
+        if report.is_change() {
+            report.objects.clear();
+            report.complete = false;
+        }
+        if views[1].on_report(report, NOW).is_none() {
+            views[1].on_listing(store.list(), NOW);
+            lists += 1;
+        }
+    }
+    assert_eq!(lists, 1);
+    assert_eq!(views[1].objects, store.objects);
+}
