--- a/crates/gateway/tests/view_delta.rs
+++ b/crates/gateway/tests/view_delta.rs
@@ -170,8 +170,7 @@
 }
 
 /// Load pattern: a configuration so large that hosts read it from the store. Guards against a host
-/// that lists it for each report of a peer although it has the same content (sweep of
-/// kmlsb-bullhire-large at 303 hosts: nothing was served).
+/// that lists it for each report of a peer although it has the same content.
 #[test]
 fn large_content_is_listed_once_for_a_report() {
     let mut store = Store::default();
