Review: show acknowledged commits lost by a promotion

Cause: the choice of a successor passes over the position that the hosts acknowledged if all registered members have answered; the replica that holds the commits may have lost its registration only. Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review/standins ] && [ -x target/release/magnoliahatch-front ] || exit 2
-exec target/review/standins two-holders target/release/magnoliahatch-front "$here/record.txt"
+exec target/review/standins lost-commit target/release/magnoliahatch-front "$here/record.txt"
