Move the steps of a change of primary into a state machine

What a promotion order's answer means for the old primary was decided inside the loop that sends the orders, where it could only be tested with a platform that answers. policy::promotion now decides it from the answers alone. Event 659 names the candidate and is logged for each order that is not accepted.

--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -30,6 +30,9 @@
 use crate::platform::Platform;
 use crate::platform::PromotionOrder;
 use crate::platform::Store;
+use crate::policy::promotion::OrderAnswer;
+use crate::policy::promotion::Promotion;
+use crate::policy::promotion::Step;
 use crate::policy::successor;
 use crate::policy::successor::PromotionCandidate;
 use crate::policy::successor::PromotionRequirements;
@@ -131,22 +134,29 @@
                 .saturating_sub(clock::now());
             tokio::time::sleep(wait).await;
         }
-        let candidate = match known {
-            Some(member) => member,
-            None => match self.choose_candidate(&old, &mut requirements).await {
-                Some(member) => member,
-                None => {
+        let (mut promotion, mut step) = Promotion::start(known);
+        let candidate = loop {
+            step = match step {
+                Step::Choose => {
+                    promotion.on_choice(self.choose_candidate(&old, &mut requirements).await)
+                }
+                Step::Order(member) => {
+                    self.write_record(Some(member.clone()), true).await?;
+                    let answer = self.order(&member).await?;
+                    promotion.on_answer(member, answer)
+                }
+                Step::Repeat(member) => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    let answer = self.order(&member).await?;
+                    promotion.on_answer(member, answer)
+                }
+                Step::AwaitEffect(member) => break member,
+                Step::Restore => {
                     self.restore_primary(&old).await?;
                     return Err(ReplacementError::NoCandidate);
                 }
-            },
+            };
         };
-        self.write_record(Some(candidate.clone()), true).await?;
-        if !self.promote(&candidate).await? {
-            // The member is certainly not promoted, so the old primary can be used again.
-            self.restore_primary(&old).await?;
-            return Err(ReplacementError::NoCandidate);
-        }
         let term = self.wait_for_promotion(&candidate).await?;
         self.record.primary = candidate;
         self.write_record(None, false).await?;
@@ -382,28 +392,27 @@
         candidates
     }
 
-    /// Orders the promotion. Returns false if the member is certainly not promoted.
-    async fn promote(&self, candidate: &str) -> Result<bool, ReplacementError> {
+    /// Orders the promotion of the recorded candidate.
+    async fn order(&self, candidate: &str) -> Result<OrderAnswer, ReplacementError> {
+        if clock::now() >= self.deadline {
+            return Err(ReplacementError::NoEffect);
+        }
         let order = PromotionOrder {
             service: self.service.to_owned(),
             member: candidate.to_owned(),
             holder: self.node.settings.host.clone(),
             fencing_token: self.revision,
         };
-        let mut unanswered = false;
-        while clock::now() < self.deadline {
-            match self.node.store.promote(&order).await {
-                Ok(()) => return Ok(true),
-                Err(PromoteError::Conflict) if !unanswered => return Ok(false),
-                Err(error) => {
-                    unanswered |= matches!(error, PromoteError::NoAnswer(_));
-                    let service = self.service;
-                    tracing::warn!(event = 659, service, %error, "promotion failed, retrying");
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-        Err(ReplacementError::NoEffect)
+        let Err(error) = self.node.store.promote(&order).await else {
+            return Ok(OrderAnswer::Accepted);
+        };
+        let service = self.service;
+        tracing::warn!(event = 659, service, candidate, %error, "promotion not accepted");
+        Ok(match error {
+            PromoteError::Conflict => OrderAnswer::NotRunning,
+            PromoteError::Refused(_) => OrderAnswer::Refused,
+            PromoteError::NoAnswer(_) => OrderAnswer::Unknown,
+        })
     }
 
     /// Waits until the candidate is the primary and returns its term.
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub mod failover_trigger;
 pub mod homes;
 pub mod ping_schedule;
+pub mod promotion;
 pub mod quota;
 pub mod read_floor;
 pub mod replica_choice;
