Do not use the old primary again after a promotion that may have been accepted

A promotion order was answered with 200, the member led the next term and crashed before the host saw it lead. The order of the next attempt was answered with 409, and the old primary was recorded again. It acknowledged writes that the promoted member's log does not have.

Cause: a 409 tells that the member is not running now. It was taken for proof that the member had not been promoted; accepted orders, and orders of earlier attempts, were forgotten.

Now the old primary is used again only if no order can have been accepted since the change began: the record named no candidate, and each order of this attempt was refused. Otherwise another member that answers is recorded as candidate, with a higher fencing token, and promoted; if there is none, the change stays open until the candidate runs again. This is right in both cases, since the new member leads a later term than a candidate that may have led.

--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -135,7 +135,7 @@
             tokio::time::sleep(wait).await;
         }
         let (mut promotion, mut step) = Promotion::start(known);
-        let candidate = loop {
+        let (candidate, term) = loop {
             step = match step {
                 Step::Choose => {
                     promotion.on_choice(self.choose_candidate(&old, &mut requirements).await)
@@ -150,14 +150,21 @@
                     let answer = self.order(&member).await?;
                     promotion.on_answer(member, answer)
                 }
-                Step::AwaitEffect(member) => break member,
+                Step::AwaitEffect(member) => match self.wait_for_promotion(&member).await {
+                    Some(term) => break (member, term),
+                    None => {
+                        let (service, candidate) = (self.service, &member);
+                        tracing::warn!(event = 663, service, candidate, "promotion not in effect");
+                        promotion.on_no_effect(member)
+                    }
+                },
                 Step::Restore => {
                     self.restore_primary(&old).await?;
                     return Err(ReplacementError::NoCandidate);
                 }
+                Step::Suspend => return Err(ReplacementError::NoCandidate),
             };
         };
-        let term = self.wait_for_promotion(&candidate).await?;
         self.record.primary = candidate;
         self.write_record(None, false).await?;
         // No host uses the old primary any longer, so the demotion can run in the background.
@@ -411,21 +418,22 @@
         Ok(match error {
             PromoteError::Conflict => OrderAnswer::NotRunning,
             PromoteError::Refused(_) => OrderAnswer::Refused,
-            PromoteError::NoAnswer(_) => OrderAnswer::Unknown,
+            PromoteError::Unknown(_) => OrderAnswer::Unknown,
         })
     }
 
-    /// Waits until the candidate is the primary and returns its term.
-    async fn wait_for_promotion(&self, candidate: &str) -> Result<Term, ReplacementError> {
+    /// Waits until the candidate is the primary and returns its term, or `None` if it does not
+    /// become the primary in time.
+    async fn wait_for_promotion(&self, candidate: &str) -> Option<Term> {
         let until = clock::now() + PROMOTION_EFFECT_LIMIT;
         while clock::now() < until {
             if let Some(status) = control::status(self.node, candidate).await
                 && status.primary
             {
-                return Ok(status.received.term);
+                return Some(status.received.term);
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        Err(ReplacementError::NoEffect)
+        None
     }
 }
--- a/crates/gateway/src/policy/promotion.rs
+++ b/crates/gateway/src/policy/promotion.rs
@@ -28,39 +28,68 @@
     AwaitEffect(MemberId),
     /// Record the old primary again, since no member was promoted.
     Restore,
+    /// End the attempt and leave the change open for the next one.
+    Suspend,
 }
 
 /// One attempt to carry out a change of primary.
+///
+/// An accepted order cannot be taken back, and its effect cannot be seen while the promoted member
+/// is not running. So once an order may have been accepted, by this attempt or an earlier one of any
+/// host, the old primary is not used again: its writes could be missing from the promoted member's
+/// log. The change then ends only with a promoted member.
 #[derive(Debug)]
 pub struct Promotion {
-    /// Whether an order of this attempt may have been accepted.
+    /// Whether an order may have been accepted since the change began.
     may_be_accepted: bool,
+    /// The last member that was found not running.
+    ended: Option<MemberId>,
 }
 
 impl Promotion {
-    /// Starts an attempt. `candidate` is the member that the record of the change names already.
+    /// Starts an attempt. `candidate` is the member that the record of the change names already; an
+    /// earlier attempt may have ordered its promotion.
     pub fn start(candidate: Option<MemberId>) -> (Self, Step) {
         let promotion = Self {
-            may_be_accepted: false,
+            may_be_accepted: candidate.is_some(),
+            ended: None,
         };
         (promotion, candidate.map_or(Step::Choose, Step::Order))
     }
 
     /// Returns the step after a choice, which may have found no member.
     pub fn on_choice(&mut self, chosen: Option<MemberId>) -> Step {
-        chosen.map_or(Step::Restore, Step::Order)
+        match chosen {
+            Some(member) if self.ended.as_ref() == Some(&member) => Step::Repeat(member),
+            Some(member) => Step::Order(member),
+            None if self.may_be_accepted => Step::Suspend,
+            None => Step::Restore,
+        }
     }
 
     /// Returns the step after the answer to an order for `member`.
     pub fn on_answer(&mut self, member: MemberId, answer: OrderAnswer) -> Step {
         match answer {
-            OrderAnswer::Accepted => Step::AwaitEffect(member),
-            OrderAnswer::NotRunning if !self.may_be_accepted => Step::Restore,
-            OrderAnswer::NotRunning | OrderAnswer::Refused => Step::Repeat(member),
+            OrderAnswer::Accepted => {
+                self.may_be_accepted = true;
+                Step::AwaitEffect(member)
+            }
             OrderAnswer::Unknown => {
                 self.may_be_accepted = true;
                 Step::Repeat(member)
             }
+            OrderAnswer::Refused => Step::Repeat(member),
+            OrderAnswer::NotRunning if self.may_be_accepted => {
+                self.ended = Some(member);
+                Step::Choose
+            }
+            OrderAnswer::NotRunning => Step::Restore,
         }
     }
+
+    /// Returns the step after an accepted promotion of `member` has not taken effect in time. The
+    /// answer to another order tells whether the member still runs.
+    pub fn on_no_effect(&mut self, member: MemberId) -> Step {
+        Step::Repeat(member)
+    }
 }
