Count members without a registration when a synchronous service's primary is replaced

The replica that held them was cut off from the store, though it served and received; 2.6 s after its registration expired the other replica, which lacked them, was promoted.

Cause: the promotion was taken as safe if every listed member had answered, even though every host had just reported a later acknowledged commit. The list leaves out members whose registration expired, as they may not be used, but they may hold the only copy.

Now commits that hosts report must be in the new primary's log whatever the members answered. Where a host has not reported, all members that this process has seen registered must have answered; one whose registration is missing stays among them until it or its successor is registered.

--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -369,12 +369,13 @@
         }
     }
 
-    /// Returns all members but the old primary, with the log positions they have received. Members
-    /// that cannot be promoted are only asked with `ask_all`.
+    /// Returns all known members but the old primary, with the log positions they have received.
+    /// Members that cannot be promoted are only asked with `ask_all`; those without a registration
+    /// are not used, so they give no answer.
     async fn candidates(&self, old: &str, ask_all: bool) -> Vec<PromotionCandidate> {
         let mut candidates: Vec<PromotionCandidate> = {
             let view = self.node.view.borrow();
-            let members = view.members(self.service, clock::now());
+            let members = view.known_members(self.service);
             let others = members.into_iter().filter(|(id, _)| *id != old);
             others
                 .map(|(id, entry)| PromotionCandidate {
--- a/crates/gateway/src/policy/successor.rs
+++ b/crates/gateway/src/policy/successor.rs
@@ -3,7 +3,8 @@
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::position::LogPosition;
 
-/// State of a member that may be promoted, or that limits which one may be.
+/// State of a member that may be promoted, or that limits which one may be. Members whose registration
+/// is missing belong to the candidates as well, since they may hold acknowledged commits.
 #[derive(Debug, Clone)]
 pub struct PromotionCandidate {
     pub member: MemberId,
@@ -61,16 +62,17 @@
     }
 }
 
-/// Returns whether the best member holds every acknowledged commit. Each such commit is on some
-/// member besides the old primary; so either all of these members have reported their positions, or
-/// all hosts have reported what they acknowledged.
+/// Returns whether the best member holds every acknowledged commit. It must at least hold those that
+/// hosts reported, whatever the members answered. Commits of hosts that did not report are each on
+/// some member besides the old primary, so all of these members must have answered.
 fn holds_acknowledged_commits(
     candidates: &[PromotionCandidate],
     requirements: &PromotionRequirements,
     covers: &impl Fn(Option<LogPosition>) -> bool,
 ) -> bool {
-    let covers_members = candidates
-        .iter()
-        .all(|c| c.received.is_some() && covers(c.received));
-    covers_members || (requirements.all_hosts_reported && covers(requirements.acknowledged))
+    let covers_members = || {
+        let mut members = candidates.iter();
+        members.all(|c| c.received.is_some() && covers(c.received))
+    };
+    covers(requirements.acknowledged) && (requirements.all_hosts_reported || covers_members())
 }
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -29,7 +29,8 @@
 pub struct ViewState {
     kinds: BTreeMap<ObjectKind, KindView>,
     configuration: Option<Rc<Configuration>>,
-    /// Members whose registration disappeared recently, and when.
+    /// Members whose registration disappeared, and when. They are kept until they or their successors
+    /// are registered.
     expired: BTreeMap<MemberId, (MemberEntry, Duration)>,
     /// Cold members, with the revision of their entry and the time until which they are cold.
     cold: BTreeMap<MemberId, (Revision, Duration)>,
@@ -150,22 +151,32 @@
     /// Returns the members of a service, including those whose registration disappeared only
     /// recently.
     pub fn members(&self, service: &str, now: Duration) -> Vec<(&MemberId, &MemberEntry)> {
-        let present = self.kinds.get(&ObjectKind::Members).into_iter();
-        let present = present.flat_map(|k| &k.objects).filter_map(|(id, o)| {
-            let Some(Content::Member(entry)) = &o.content else {
-                return None;
-            };
-            Some((id, entry))
-        });
-        let expired = self.expired.iter().filter(|(id, (_, at))| {
-            now.saturating_sub(*at) < EXPIRED_USE_LIMIT && self.registered(id).is_none()
-        });
-        present
+        let mut known = self.known_members(service);
+        known.retain(|(id, _)| self.member(id, now).is_some());
+        known
+    }
+
+    /// Returns the members of a service, including those whose registration disappeared at any time
+    /// since this process started. Such a member may not be used, but may still run and hold
+    /// commits that no registered member has received.
+    pub fn known_members(&self, service: &str) -> Vec<(&MemberId, &MemberEntry)> {
+        let expired = self.expired.iter();
+        let expired = expired.filter(|(id, _)| self.registered(id).is_none());
+        self.registered_members()
             .chain(expired.map(|(id, (entry, _))| (id, entry)))
             .filter(|(_, entry)| entry.service == service)
             .collect()
     }
 
+    fn registered_members(&self) -> impl Iterator<Item = (&MemberId, &MemberEntry)> {
+        let view = self.kinds.get(&ObjectKind::Members).into_iter();
+        view.flat_map(|k| &k.objects)
+            .filter_map(|(id, o)| match &o.content {
+                Some(Content::Member(entry)) => Some((id, entry)),
+                _ => None,
+            })
+    }
+
     /// Returns whether a member is still slow after its start.
     pub fn is_cold(&self, id: &str, now: Duration) -> bool {
         self.cold.get(id).is_some_and(|(_, until)| now < *until)
@@ -231,8 +242,7 @@
                         self.expired.insert(object.name, (entry, now));
                     }
                 }
-                self.expired
-                    .retain(|_, (_, at)| now.saturating_sub(*at) < EXPIRED_USE_LIMIT);
+                self.forget_replaced_members();
                 self.update_cold(now);
             }
             ObjectKind::Hosts => {
@@ -247,6 +257,18 @@
         }
     }
 
+    /// Forgets the members that are registered again, or in whose place another member of the
+    /// service is registered. A new member takes over the log and the address of the one that left.
+    fn forget_replaced_members(&mut self) {
+        let mut expired = std::mem::take(&mut self.expired);
+        expired.retain(|id, (entry, _)| {
+            !self.registered_members().any(|(other, o)| {
+                other == id || (o.service == entry.service && o.address == entry.address)
+            })
+        });
+        self.expired = expired;
+    }
+
     /// Updates the cold members. An entry contains the remaining time, which is counted from when
     /// this host first sees the entry; the result may be too late, but never too early.
     fn update_cold(&mut self, now: Duration) {
--- a/crates/gateway/tests/successor.rs
+++ b/crates/gateway/tests/successor.rs
@@ -77,6 +77,17 @@
     assert_eq!(choose(&candidates, &synchronous(4, false)), ready);
 }
 
+/// Guards against a lost acknowledged commit that only a member holds which the list of members lacks
+/// (review/2): all listed members have answered, and a host has acknowledged more than they hold.
+#[test]
+fn acknowledged_commit_may_be_on_a_member_that_is_not_listed() {
+    let candidates = [candidate("m1", Some(4))];
+    for all_hosts_reported in [true, false] {
+        let requirements = synchronous(5, all_hosts_reported);
+        assert_eq!(choose(&candidates, &requirements), Successor::Unsafe);
+    }
+}
+
 /// A member must not be promoted that has received less than another one, which is leaving.
 #[test]
 fn leaving_member_may_hold_an_acknowledged_commit() {
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -211,6 +211,40 @@
     assert!(view.members("ledger", seconds(13)).is_empty());
 }
 
+/// Guards against a member that is taken for gone, with the commits that only it holds, because its
+/// registration is missing (review/2). It stays known until it or its successor is registered.
+#[test]
+fn member_without_a_registration_stays_known_until_it_is_replaced() {
+    let kind = ObjectKind::Members;
+    let entry = |name: &str, revision| Object {
+        name: name.to_owned(),
+        revision,
+        content: Some(member("ledger")),
+    };
+    for successor in ["m1", "m2"] {
+        let mut view = ViewState::default();
+        let list = listing(5, vec![entry("m1", 5)]);
+        view.on_listing(kind, list, seconds(1), seconds(1));
+        let removal = changes(9, vec![Change::Removed("m1".to_owned())]);
+        view.on_changes(kind, removal, seconds(2), seconds(2));
+        let other = Object {
+            content: Some(member("other")),
+            ..entry("m9", 10)
+        };
+        let addition = changes(10, vec![Change::Set(other)]);
+        view.on_changes(kind, addition, seconds(100), seconds(100));
+        let ids = |view: &ViewState| -> Vec<String> {
+            let members = view.known_members("ledger").into_iter();
+            members.map(|(id, _)| id.clone()).collect()
+        };
+        assert_eq!(ids(&view), ["m1"]);
+        assert!(view.members("ledger", seconds(100)).is_empty());
+        let addition = changes(11, vec![Change::Set(entry(successor, 11))]);
+        view.on_changes(kind, addition, seconds(101), seconds(101));
+        assert_eq!(ids(&view), [successor]);
+    }
+}
+
 /// A change of primary must wait for a host whose registration was just removed, since its view may
 /// still allow it to use the old primary.
 #[test]
