Log the known members when a candidate for promotion is chosen or refused

Event 662 named the requirements but not the members that were compared, so it could not tell a member that lacks commits from one that is missing in the list. It names them now, and event 664 does when a candidate is chosen.

--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -349,22 +349,32 @@
             let candidates = self.candidates(old, requirements.synchronous).await;
             let found = successor::choose(&candidates, requirements);
             let late = clock::now() >= until;
+            let service = self.service;
             match found {
-                Successor::Ready(member) => return Some(member),
-                Successor::Behind(member) if late => return Some(member),
-                Successor::Unsafe if late => {
-                    let service = self.service;
+                Successor::Behind(_) | Successor::Unsafe if !late => {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+                Successor::Ready(member) | Successor::Behind(member) => {
+                    tracing::info!(
+                        event = 664,
+                        service,
+                        member,
+                        ?requirements,
+                        ?candidates,
+                        "candidate chosen"
+                    );
+                    return Some(member);
+                }
+                Successor::Unsafe => {
                     tracing::warn!(
                         event = 662,
                         service,
                         ?requirements,
+                        ?candidates,
                         "no member can be promoted"
                     );
                     return None;
                 }
-                Successor::Behind(_) | Successor::Unsafe => {
-                    tokio::time::sleep(POLL_INTERVAL).await;
-                }
             }
         }
     }
