End a transaction whose key or regions no longer belong to its organisation

Cause: a transaction's connection is opened for the organisation of its first statement. Later statements looked the key up, which found withdrawn keys, but the organisation was not compared with that of the connection.

Now a channel keeps for whom and where it runs (policy::access), and each statement is checked against the current configuration before it is sent. If it may not run, the transaction is rolled back at once and answered with ABORTED.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliahatch_core::ids::DataCentreId;
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::OrganisationId;
@@ -31,6 +32,7 @@
 use crate::model::route::RouteKind;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::policy::access::Access;
 use crate::policy::replica_choice;
 use crate::policy::replica_choice::Distance;
 use crate::policy::replica_choice::ReadCandidate;
@@ -129,6 +131,7 @@
         } else {
             remote::spawn(node.clone(), host.clone(), target)
         };
+        let access = access(node, &statement, &member, &host);
         let outcome = send(node, &handle, &member, &statement.job, deadline).await;
         attempted.count += 1;
         match outcome {
@@ -146,6 +149,7 @@
                     handle,
                     member,
                     primary,
+                    access,
                 };
                 return Ok((answer, channel));
             }
@@ -179,6 +183,24 @@
     entry.is_some_and(|e| statement.allows(node.settings.region(&e.data_centre)))
 }
 
+/// The access that a channel to a member through a host uses.
+fn access<P: Platform>(
+    node: &Rc<Node<P>>,
+    statement: &FirstStatement<'_>,
+    member: &str,
+    host: &HostId,
+) -> Access {
+    let view = node.view.borrow();
+    let member = view.member(member, clock::now());
+    let host = view.host(host).filter(|_| *host != node.settings.host);
+    let data_centres = [member.map(|m| &m.data_centre), host.map(|h| &h.data_centre)];
+    let region = |data_centre: &DataCentreId| node.settings.region(data_centre).to_owned();
+    Access {
+        organisation: statement.organisation.clone(),
+        regions: data_centres.into_iter().flatten().map(region).collect(),
+    }
+}
+
 fn request_id(id: &[u8]) -> std::borrow::Cow<'_, str> {
     String::from_utf8_lossy(id)
 }
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -293,7 +293,7 @@
     }
 
     async fn run_work(&mut self, id: &Bytes, work: Work) -> Result<Answer, Failure> {
-        let organisation = self.organisation()?;
+        let organisation = self.authorise()?;
         let read_only = self.transaction.as_ref().map(|t| t.read_only);
         let has_channel = self
             .transaction
@@ -316,11 +316,8 @@
             if organisation != ANONYMOUS && !self.node.quota.take(&self.node, &organisation).await {
                 return Err(failure(ErrorCode::Busy, Cause::Rate));
             }
-            let configuration = self.configuration()?;
-            let anywhere = RegionLimit::default();
-            let regions = configuration.regions.get(&organisation);
             let first = FirstStatement {
-                regions: regions.unwrap_or(&anywhere),
+                regions: &self.regions(&organisation)?,
                 route: &route,
                 organisation: &organisation,
                 transaction: read_only,
@@ -377,6 +374,39 @@
             .ok_or(failure(ErrorCode::NoDatabase, Cause::Member))
     }
 
+    /// Returns the organisation for which the next statement runs. Rolls an open transaction back if
+    /// the current configuration does not allow it to go on.
+    fn authorise(&mut self) -> Result<OrganisationId, Failure> {
+        let result = self.check_transaction();
+        if result.is_err()
+            && let Some(transaction) = &mut self.transaction
+        {
+            // The client still has to end the failed transaction.
+            transaction.channel = None;
+        }
+        result
+    }
+
+    fn check_transaction(&self) -> Result<OrganisationId, Failure> {
+        let organisation = self.organisation()?;
+        let transaction = self.transaction.as_ref();
+        if let Some(channel) = transaction.and_then(|t| t.channel.as_ref())
+            && !channel
+                .access
+                .allows(&organisation, &self.regions(&organisation)?)
+        {
+            return Err(failure(ErrorCode::Aborted, Cause::Access));
+        }
+        Ok(organisation)
+    }
+
+    /// The regions in which an organisation's statements may run.
+    fn regions(&self, organisation: &OrganisationId) -> Result<RegionLimit, Failure> {
+        let configuration = self.configuration()?;
+        let regions = configuration.regions.get(organisation);
+        Ok(regions.cloned().unwrap_or_default())
+    }
+
     /// The organisation of the session's key in the current configuration.
     fn organisation(&self) -> Result<OrganisationId, Failure> {
         let configuration = self.configuration()?;
--- a/crates/gateway/src/front/transaction.rs
+++ b/crates/gateway/src/front/transaction.rs
@@ -7,6 +7,7 @@
 
 use crate::member::channel_handle::ChannelHandle;
 use crate::model::route::Route;
+use crate::policy::access::Access;
 
 /// A transaction that the client opened with BEGIN. It begins on a member with the first statement
 /// that needs a member.
@@ -28,4 +29,6 @@
     pub member: MemberId,
     /// Whether the member is used as the primary.
     pub primary: bool,
+    /// For whom and where the channel runs statements.
+    pub access: Access,
 }
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -49,6 +49,9 @@
     Deadline,
     /// The transaction was idle for too long.
     Idle,
+    /// The transaction's key belongs to another organisation now, or the organisation's statements
+    /// may no longer run in the regions that the transaction uses.
+    Access,
 }
 
 /// Result of a job.
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Pure decision logic: time and randomness are passed in, and there is no I/O.
 
+pub mod access;
 pub mod admission;
 pub mod backoff;
 pub mod bounds;
