Order no promotion once another host may have taken the change over

Since a change may now end with another member than its first candidate, two hosts that order for the same change could promote different members.

Now an order is sent only if the holder knows no newer record than its own, and knew its own to be the newest at most max_primary_record_age ago: the time that the other host waits after it has written the record (policy::promotion::Holding).

--- a/crates/gateway/src/failover/mod.rs
+++ b/crates/gateway/src/failover/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod primary_monitor;
 pub mod promoter;
+pub mod quiesce;
--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -7,29 +7,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
 use magnoliahatch_core::ids::Term;
-use magnoliahatch_core::position::LogPosition;
-use rand::seq::SliceRandom;
 
 use crate::clock;
+use crate::failover::quiesce;
 use crate::member::control;
-use crate::mesh::call_error::CallError;
-use crate::mesh::frame::Call;
-use crate::mesh::frame::Response;
 use crate::model::command::Command;
 use crate::model::kind::ObjectKind;
 use crate::model::object::Content;
+use crate::model::object::Object;
 use crate::model::primary_record::PrimaryChange;
 use crate::model::primary_record::PrimaryRecord;
-use crate::node::MAX_HOST_LIST_AGE;
 use crate::node::Node;
-use crate::node::QUIESCE_TIMEOUT;
 use crate::platform::Platform;
 use crate::platform::PromotionOrder;
 use crate::platform::Store;
+use crate::policy::promotion::Holding;
 use crate::policy::promotion::OrderAnswer;
 use crate::policy::promotion::Promotion;
 use crate::policy::promotion::Step;
@@ -40,11 +35,6 @@
 use crate::promote_error::PromoteError;
 use crate::store_error::StoreError;
 
-/// Timeout of a quiesce call that is relayed by another host.
-const RELAY_CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Number of hosts that are asked at the same time to relay a call to a host that does not answer.
-/// When two data centres cannot reach each other, a third one can usually reach both.
-const RELAY_COUNT: usize = 3;
 /// How long to wait for a member to receive the rest of the old primary's log, or for one that can
 /// safely be promoted.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
@@ -74,6 +64,7 @@
         service,
         record,
         revision,
+        written: Duration::ZERO,
         deadline: started + CHANGE_LIMIT + node.settings.bounds.max_primary_record_age(),
     };
     let result = replacement.run(candidate, takeover).await;
@@ -107,6 +98,8 @@
     NoCandidate,
     #[error("the promotion did not take effect in time")]
     NoEffect,
+    #[error("another host may have taken the change over")]
+    Superseded,
 }
 
 /// A change of primary that this host carries out.
@@ -114,7 +107,10 @@
     node: &'a Rc<Node<P>>,
     service: &'a str,
     record: PrimaryRecord,
+    /// Revision of the record that this host wrote.
     revision: Revision,
+    /// When the last successful write of the record was sent.
+    written: Duration,
     deadline: Duration,
 }
 
@@ -127,7 +123,13 @@
         let old = self.record.primary.clone();
         self.write_record(known.clone(), true).await?;
         let written = clock::now();
-        let mut requirements = self.quiesce_hosts(written).await;
+        let reports = quiesce::quiesce_hosts(self.node, self.service, self.revision, written).await;
+        let mut requirements = PromotionRequirements {
+            old_primary: None,
+            synchronous: self.synchronous(),
+            acknowledged: reports.acknowledged,
+            all_hosts_reported: reports.complete,
+        };
         if takeover {
             // The previous holder may still send a promotion order.
             let wait = (written + self.node.settings.bounds.max_primary_record_age())
@@ -188,6 +190,7 @@
         self.record.change = change;
         let content = Content::Primary(self.record.clone());
         loop {
+            let sent = clock::now();
             let store = &self.node.store;
             let written = store
                 .put(
@@ -199,14 +202,14 @@
                 .await;
             let error = match written {
                 Ok(object) => {
-                    self.on_record_written(object);
+                    self.on_record_written(object, sent);
                     return Ok(());
                 }
                 // An earlier attempt of this write took effect although its answer was lost.
                 Err(StoreError::Conflict(Some(object)))
                     if object.content.as_ref() == Some(&content) =>
                 {
-                    self.on_record_written(*object);
+                    self.on_record_written(*object, sent);
                     return Ok(());
                 }
                 Err(StoreError::Conflict(object)) => {
@@ -222,8 +225,9 @@
         }
     }
 
-    fn on_record_written(&mut self, object: crate::model::object::Object) {
+    fn on_record_written(&mut self, object: Object, sent: Duration) {
         self.revision = object.revision;
+        self.written = sent;
         let mut view = self.node.view.borrow_mut();
         view.on_written(ObjectKind::Primaries, object, clock::now());
         drop(view);
@@ -235,103 +239,12 @@
         self.write_record(None, false).await
     }
 
-    /// Waits until no host uses the primary: each has confirmed, has ended, or has a view that is
-    /// too old. Returns the requirements on the new primary that follow from the hosts' last
-    /// acknowledged commits.
-    async fn quiesce_hosts(&self, written: Duration) -> PromotionRequirements {
-        let hosts: Vec<HostId> = {
-            let view = self.node.view.borrow();
-            let own = &self.node.settings.host;
-            let others = view.hosts().into_iter().map(|(id, _)| id.clone());
-            others.filter(|id| id != own).collect()
-        };
-        let remote = futures::future::join_all(hosts.iter().map(|h| self.quiesce_host(h, written)));
-        let local = self.node.quiesce(self.service, self.revision);
-        let (remote, local) = futures::join!(remote, local);
-        // A host whose registration was removed recently may still use the primary by an older
-        // view, until its list of hosts or its copy of the primary record is too old.
-        let removed = self
-            .node
-            .view
-            .borrow()
-            .last_unexpected_removal()
-            .map(|at| at + MAX_HOST_LIST_AGE);
-        let removed = removed.filter(|expiry| *expiry > clock::now());
-        if let Some(expiry) = removed {
-            let expiry = expiry.min(self.view_expiry(written));
-            tokio::time::sleep(expiry.saturating_sub(clock::now())).await;
-        }
-        PromotionRequirements {
-            old_primary: None,
-            synchronous: self.synchronous(),
-            acknowledged: remote.iter().copied().flatten().fold(local, Option::max),
-            all_hosts_reported: removed.is_none() && remote.iter().all(Option::is_some),
-        }
-    }
-
-    /// When hosts that have not seen the change stop using the primary, because their view is too
-    /// old.
-    fn view_expiry(&self, written: Duration) -> Duration {
-        written + self.node.settings.bounds.max_primary_record_age()
-    }
-
     fn synchronous(&self) -> bool {
         let configuration = self.node.configuration();
         let limits = configuration.and_then(|c| c.services.get(self.service).copied());
         limits.is_some_and(|l| l.synchronous)
     }
 
-    /// Asks a host to stop using the primary, until it confirms or can no longer use it. Returns
-    /// the host's last acknowledged commit, or `None` if the host did not report it.
-    async fn quiesce_host(&self, host: &str, written: Duration) -> Option<Option<LogPosition>> {
-        let expiry = self.view_expiry(written);
-        while clock::now() < expiry {
-            let call = Call::Quiesce {
-                service: self.service.to_owned(),
-                revision: self.revision,
-            };
-            match self.node.mesh.call(host, call, QUIESCE_TIMEOUT).await {
-                Ok(Response::Quiesced(acknowledged)) => return Some(acknowledged),
-                Err(CallError::Ended) => return None,
-                other => {
-                    tracing::debug!(
-                        event = 658,
-                        host,
-                        ?other,
-                        "host has not confirmed that it stopped using the primary"
-                    );
-                }
-            }
-            let relayed = self.quiesce_through_relays(host).await;
-            if relayed.is_some() {
-                return relayed;
-            }
-            let left = expiry.saturating_sub(clock::now());
-            tokio::time::sleep(RETRY_PAUSE.min(left)).await;
-        }
-        None
-    }
-
-    /// Asks a host through a few other hosts.
-    async fn quiesce_through_relays(&self, host: &str) -> Option<Option<LogPosition>> {
-        let mut relays: Vec<HostId> = self.node.live_hosts();
-        relays.retain(|h| h != host && *h != self.node.settings.host);
-        relays.shuffle(&mut rand::rng());
-        let calls = relays.iter().take(RELAY_COUNT).map(async |relay| {
-            let call = Call::QuiesceAt {
-                host: host.to_owned(),
-                service: self.service.to_owned(),
-                revision: self.revision,
-            };
-            self.node.mesh.call(relay, call, RELAY_CALL_TIMEOUT).await
-        });
-        let answers = futures::future::join_all(calls).await;
-        answers.into_iter().find_map(|answer| match answer {
-            Ok(Response::Quiesced(acknowledged)) => Some(acknowledged),
-            _ => None,
-        })
-    }
-
     /// Chooses the member that has received the most. Waits for the last writes of an old primary
     /// that still answers; where no commit may be lost, waits for a member that holds all of them.
     async fn choose_candidate(
@@ -415,6 +328,10 @@
         if clock::now() >= self.deadline {
             return Err(ReplacementError::NoEffect);
         }
+        let max_age = self.node.settings.bounds.max_primary_record_age();
+        if !self.holding().may_order(clock::now(), max_age) {
+            return Err(ReplacementError::Superseded);
+        }
         let order = PromotionOrder {
             service: self.service.to_owned(),
             member: candidate.to_owned(),
@@ -433,6 +350,19 @@
         })
     }
 
+    /// What this host knows of the record that it wrote.
+    fn holding(&self) -> Holding {
+        let view = self.node.view.borrow();
+        let kind = view.kind(ObjectKind::Primaries);
+        let current_at = kind.and_then(|k| k.current_at);
+        let newest = view.primary(self.service).map(|(_, revision)| revision);
+        Holding {
+            written: self.revision,
+            newest: newest.unwrap_or(self.revision),
+            confirmed: current_at.unwrap_or_default().max(self.written),
+        }
+    }
+
     /// Waits until the candidate is the primary and returns its term, or `None` if it does not
     /// become the primary in time.
     async fn wait_for_promotion(&self, candidate: &str) -> Option<Term> {
--- a/crates/gateway/src/policy/promotion.rs
+++ b/crates/gateway/src/policy/promotion.rs
@@ -1,6 +1,9 @@
 //! Decides the steps of a change of primary from the answers to its promotion orders.
 
+use std::time::Duration;
+
 use magnoliahatch_core::ids::MemberId;
+use magnoliahatch_core::ids::Revision;
 
 /// Answer of the platform to a promotion order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,10 +14,29 @@
     NotRunning,
     /// The order was not carried out.
     Refused,
-    /// No answer arrived, and the order may have been accepted.
+    /// The order may have been accepted.
     Unknown,
 }
 
+/// What a host knows of the record that makes it the holder of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holding {
+    /// Revision of the record that this host wrote.
+    pub written: Revision,
+    /// Newest revision of the record that this host knows.
+    pub newest: Revision,
+    /// Time at which this was last known to be the newest revision.
+    pub confirmed: Duration,
+}
+
+impl Holding {
+    /// Whether the host may order a promotion. Another host takes a change over by writing the
+    /// record, and waits for `max_age` after that before it sends an order of its own.
+    pub fn may_order(&self, now: Duration, max_age: Duration) -> bool {
+        self.newest <= self.written && now.saturating_sub(self.confirmed) <= max_age
+    }
+}
+
 /// What the host that carries out the change does next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
@@ -42,7 +64,7 @@
 pub struct Promotion {
     /// Whether an order may have been accepted since the change began.
     may_be_accepted: bool,
-    /// The last member that was found not running.
+    /// The recorded candidate, if the answer to its last order was that it is not running.
     ended: Option<MemberId>,
 }
 
--- a/crates/gateway/tests/promotion.rs
+++ b/crates/gateway/tests/promotion.rs
@@ -1,7 +1,9 @@
 //! Tests of the steps of a change of primary.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
+use magnoliahatch_gateway::policy::promotion::Holding;
 use magnoliahatch_gateway::policy::promotion::OrderAnswer;
 use magnoliahatch_gateway::policy::promotion::Promotion;
 use magnoliahatch_gateway::policy::promotion::Step;
@@ -80,6 +82,26 @@
     assert_eq!(step, Step::Choose);
 }
 
+/// Guards against a holder that orders a promotion after another host has taken the change over and
+/// may have chosen another member.
+#[test]
+fn holder_orders_nothing_once_another_host_may_order() {
+    const MAX_AGE: Duration = Duration::from_secs(3);
+    let holding = Holding {
+        written: 7,
+        newest: 7,
+        confirmed: Duration::from_secs(10),
+    };
+    assert!(holding.may_order(Duration::from_secs(13), MAX_AGE));
+    let too_old = Duration::from_millis(13_001);
+    assert!(!holding.may_order(too_old, MAX_AGE));
+    let taken_over = Holding {
+        newest: 8,
+        ..holding
+    };
+    assert!(!taken_over.may_order(Duration::from_secs(10), MAX_AGE));
+}
+
 /// What happens next in a simulated change of primary.
 #[derive(Debug, Clone)]
 enum Event {
