Cover commits of ended hosts when a synchronous service's primary is replaced

With one replica that lacks commits and another that does not answer, the first was promoted and the commits were lost.

Now the host that monitors a synchronous service keeps the first position that the primary reports after the last end of a host's process. It covers everything that processes acknowledged before, and the new primary must hold it. Without such a position all members must answer. Services without synchronous replicas are not affected.

--- a/crates/gateway/src/failover/primary_monitor.rs
+++ b/crates/gateway/src/failover/primary_monitor.rs
@@ -156,6 +156,10 @@
         );
         *trigger = FailoverTrigger::default();
         promoter::replace(node, service, record, revision, false).await;
+    } else if seen.reachable && node.is_synchronous(service) {
+        // Processes that have ended cannot report which commits they acknowledged.
+        let since = node.known_hosts_since();
+        node.floors.observe_since(node, service, since).await;
     }
 }
 
--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -124,11 +124,13 @@
         self.write_record(known.clone(), true).await?;
         let written = clock::now();
         let reports = quiesce::quiesce_hosts(self.node, self.service, self.revision, written).await;
+        let since = self.node.known_hosts_since();
+        let ended = self.node.floors.observed_since(self.service, since);
         let mut requirements = PromotionRequirements {
             old_primary: None,
-            synchronous: self.synchronous(),
-            acknowledged: reports.acknowledged,
-            all_hosts_reported: reports.complete,
+            synchronous: self.node.is_synchronous(self.service),
+            acknowledged: reports.acknowledged.max(ended),
+            all_hosts_reported: reports.complete && ended.is_some(),
         };
         if takeover {
             // The previous holder may still send a promotion order.
@@ -239,12 +241,6 @@
         self.write_record(None, false).await
     }
 
-    fn synchronous(&self) -> bool {
-        let configuration = self.node.configuration();
-        let limits = configuration.and_then(|c| c.services.get(self.service).copied());
-        limits.is_some_and(|l| l.synchronous)
-    }
-
     /// Chooses the member that has received the most. Waits for the last writes of an old primary
     /// that still answers; where no commit may be lost, waits for a member that holds all of them.
     async fn choose_candidate(
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -150,6 +150,26 @@
         clock::now().saturating_sub(self.started)
     }
 
+    /// Time since which only processes that are registered now may have acknowledged commits, as far
+    /// as this process knows. It may lie in the future: a host whose registration was removed may go
+    /// on for a while.
+    pub fn known_hosts_since(&self) -> Duration {
+        let view = self.view.borrow();
+        let removal = view.last_unexpected_removal();
+        let ends = [
+            view.last_process_end(),
+            removal.map(|at| at + MAX_HOST_LIST_AGE),
+        ];
+        ends.into_iter().flatten().fold(self.started, Duration::max)
+    }
+
+    /// Whether the commits of a service are acknowledged only once a replica has received them.
+    pub fn is_synchronous(&self, service: &str) -> bool {
+        let configuration = self.configuration();
+        let limits = configuration.and_then(|c| c.services.get(service).copied());
+        limits.is_some_and(|l| l.synchronous)
+    }
+
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.view.borrow().configuration()
     }
--- a/crates/gateway/src/policy/successor.rs
+++ b/crates/gateway/src/policy/successor.rs
@@ -23,9 +23,10 @@
     /// Whether commits are acknowledged only once a replica has received them. If so, no
     /// acknowledged commit may be lost.
     pub synchronous: bool,
-    /// Last commit that any host acknowledged.
+    /// Covers the commits that hosts reported as acknowledged.
     pub acknowledged: Option<LogPosition>,
-    /// Whether every host that may have acknowledged a commit has reported its last one.
+    /// Whether `acknowledged` also covers the commits of hosts whose processes have ended, and no host
+    /// is missing.
     pub all_hosts_reported: bool,
 }
 
--- a/crates/gateway/src/read_floors.rs
+++ b/crates/gateway/src/read_floors.rs
@@ -26,6 +26,8 @@
 pub struct ReadFloors {
     floors: RefCell<BTreeMap<String, ReadFloor>>,
     pending_queries: RefCell<BTreeMap<String, watch::Receiver<bool>>>,
+    /// The first position that was observed after processes of hosts have ended, by service.
+    after_ends: RefCell<BTreeMap<String, ReadFloor>>,
 }
 
 impl ReadFloors {
@@ -77,6 +79,33 @@
         self.latest(service)
     }
 
+    /// Observes a position of the primary, unless one has been kept that was observed at `since` or
+    /// later.
+    pub async fn observe_since<P: Platform>(
+        &self,
+        node: &Rc<Node<P>>,
+        service: &str,
+        since: Duration,
+    ) {
+        let now = clock::now();
+        if now < since || self.observed_since(service, since).is_some() {
+            return;
+        }
+        let age = now.saturating_sub(since);
+        if let Some(position) = self.covering(node, service, age).await {
+            let mut after_ends = self.after_ends.borrow_mut();
+            let floor = after_ends.entry(service.to_owned()).or_default();
+            floor.record(since, position);
+        }
+    }
+
+    /// The kept position if it was observed at `since` or later. It covers every commit that was
+    /// acknowledged before `since`.
+    pub fn observed_since(&self, service: &str, since: Duration) -> Option<LogPosition> {
+        let after_ends = self.after_ends.borrow();
+        after_ends.get(service)?.covering(Duration::ZERO, since)
+    }
+
     fn known(&self, service: &str, age: Duration) -> Option<LogPosition> {
         let floors = self.floors.borrow();
         floors.get(service)?.covering(age, clock::now())
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
 
@@ -36,6 +37,10 @@
     cold: BTreeMap<MemberId, (Revision, Duration)>,
     /// When the registration of a host that was not leaving was last removed.
     last_unexpected_removal: Option<Duration>,
+    /// The process of each registered host.
+    processes: BTreeMap<HostId, Incarnation>,
+    /// When the process of a registered host was last replaced or removed.
+    last_process_end: Option<Duration>,
     /// Number of changes of the list of hosts.
     hosts_changes: u64,
 }
@@ -208,6 +213,11 @@
         self.last_unexpected_removal
     }
 
+    /// When the process of a registered host was last replaced or removed.
+    pub fn last_process_end(&self) -> Option<Duration> {
+        self.last_process_end
+    }
+
     pub fn host(&self, id: &str) -> Option<&HostEntry> {
         match self.kinds.get(&ObjectKind::Hosts)?.objects.get(id)?.content {
             Some(Content::Host(ref entry)) => Some(entry),
@@ -252,6 +262,7 @@
                 if removed.iter().any(staying) {
                     self.last_unexpected_removal = Some(now);
                 }
+                self.update_processes(now);
             }
             ObjectKind::Evacuations | ObjectKind::Primaries => {}
         }
@@ -269,6 +280,18 @@
         self.expired = expired;
     }
 
+    fn update_processes(&mut self, now: Duration) {
+        let hosts = self.hosts().into_iter();
+        let present: BTreeMap<HostId, Incarnation> = hosts
+            .map(|(id, entry)| (id.clone(), entry.incarnation))
+            .collect();
+        let mut known = self.processes.iter();
+        if known.any(|(id, incarnation)| present.get(id) != Some(incarnation)) {
+            self.last_process_end = Some(now);
+        }
+        self.processes = present;
+    }
+
     /// Updates the cold members. An entry contains the remaining time, which is counted from when
     /// this host first sees the entry; the result may be too late, but never too early.
     fn update_cold(&mut self, now: Duration) {
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -269,3 +269,33 @@
         assert_eq!(view.last_unexpected_removal(), removal);
     }
 }
+
+/// Guards against a process that is forgotten together with the commits that only it knows to be
+/// acknowledged, although it was replaced by another one or left as planned.
+#[test]
+fn end_of_a_hosts_process_is_remembered() {
+    let host = |incarnation, leaving| Object {
+        name: "h1".to_owned(),
+        revision: incarnation,
+        content: Some(Content::Host(HostEntry {
+            mesh: ([10, 0, 0, 1], 90).into(),
+            data_centre: "a".to_owned(),
+            incarnation,
+            capacity: 250,
+            leaving,
+        })),
+    };
+    let kind = ObjectKind::Hosts;
+    let ends = [
+        Change::Set(host(6, false)),
+        Change::Removed("h1".to_owned()),
+    ];
+    for end in ends {
+        let mut view = ViewState::default();
+        let list = listing(5, vec![host(5, true)]);
+        view.on_listing(kind, list, seconds(1), seconds(1));
+        assert_eq!(view.last_process_end(), None);
+        view.on_changes(kind, changes(9, vec![end]), seconds(3), seconds(3));
+        assert_eq!(view.last_process_end(), Some(seconds(3)));
+    }
+}
