--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -22,13 +22,17 @@
 
 async fn assert_no_finding(case: &Case) {
     let _turn = TURN.lock().await;
-    let folder = TempDir::new().expect("a folder");
+    let mut folder = TempDir::new().expect("a folder");
     let outcome = run::run(case, folder.path()).await;
     if let Some(report) = &outcome.report {
         println!("{report}");
     }
     let findings = outcome.findings.iter().map(ToString::to_string);
     let findings: Vec<_> = findings.collect();
+    if !findings.is_empty() {
+        folder.disable_cleanup(true);
+        println!("logs of the processes: {}", folder.path().display());
+    }
     assert!(findings.is_empty(), "{case:?}: {findings:#?}");
 }
 
