Read the organisation and its regions again before each attempt

A statement that waited, for a token, for a new primary or for another try, ran for the organisation and within the regions that applied when it arrived.

Cause: the session looked both up once, before the waits of dispatch.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -52,7 +52,10 @@
     /// Position of the session's last commit.
     pub last_commit: Option<LogPosition>,
     /// Regions in which the organisation's statements may run.
-    pub regions: &'a RegionLimit,
+    pub regions: RegionLimit,
+    /// Reads the regions from the current configuration. Fails if the session's key no longer belongs
+    /// to the organisation.
+    pub read_regions: &'a dyn Fn() -> Result<RegionLimit, Failure>,
     pub job: Job,
 }
 
@@ -96,12 +99,14 @@
 /// channel stays open for the next statements.
 pub async fn run_first<P: Platform>(
     node: &Rc<Node<P>>,
-    statement: FirstStatement<'_>,
+    mut statement: FirstStatement<'_>,
 ) -> Result<(Answer, OpenChannel), Failure> {
     let start = clock::now();
     let deadline = start + statement.job.timeout;
     let mut attempted = Attempts::default();
     loop {
+        // The configuration may have changed while the statement waited.
+        statement.regions = (statement.read_regions)()?;
         let (member, primary) = match choose_member(node, &statement, &attempted) {
             Some(choice) => choice,
             None => {
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -317,7 +317,8 @@
                 return Err(failure(ErrorCode::Busy, Cause::Rate));
             }
             let first = FirstStatement {
-                regions: &self.regions(&organisation)?,
+                regions: self.regions(&organisation)?,
+                read_regions: &|| self.current_regions(&organisation),
                 route: &route,
                 organisation: &organisation,
                 transaction: read_only,
@@ -400,6 +401,15 @@
         Ok(organisation)
     }
 
+    /// The regions in which statements for `organisation` may run now. Fails if the session's key no
+    /// longer belongs to it.
+    fn current_regions(&self, organisation: &OrganisationId) -> Result<RegionLimit, Failure> {
+        if self.organisation()? != *organisation {
+            return Err(failure(ErrorCode::Busy, Cause::Access));
+        }
+        self.regions(organisation)
+    }
+
     /// The regions in which an organisation's statements may run.
     fn regions(&self, organisation: &OrganisationId) -> Result<RegionLimit, Failure> {
         let configuration = self.configuration()?;
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -49,8 +49,8 @@
     Deadline,
     /// The transaction was idle for too long.
     Idle,
-    /// The transaction's key belongs to another organisation now, or the organisation's statements
-    /// may no longer run in the regions that the transaction uses.
+    /// The key belongs to another organisation since the statement or its transaction began, or the
+    /// organisation's statements may no longer run in the regions that the transaction uses.
     Access,
 }
 
