Keep a stop from going to a process whose restart is pending

Cause: in the soak's faults a stop that came while the same process was being restarted was sent to the old process, which was stopping already. The new process was never told, and the next restart waited for its end. Ruled out: a daemon that loses SIGTERM; its log has no line of a stop, and the signal is sent 1.7 s before it starts.

A restart now holds a lock of its process, and a stop waits for it. The checks of the soak are unchanged.

Before: the new test of tests/run.rs failed with 'gave up waiting until host-1 has stopped'; after: it passes.

--- a/crates/bench/src/load/injector.rs
+++ b/crates/bench/src/load/injector.rs
@@ -1,5 +1,6 @@
 //! Injects the faults of a scenario at their times.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,18 +53,32 @@
     }
 }
 
+/// Locks that are held while a process is restarted, by its name.
+#[derive(Debug, Default)]
+struct Restarts {
+    locks: Mutex<BTreeMap<String, Arc<Mutex<()>>>>,
+}
+
+impl Restarts {
+    async fn of(&self, process: &str) -> Arc<Mutex<()>> {
+        let mut locks = self.locks.lock().await;
+        Arc::clone(locks.entry(process.to_owned()).or_default())
+    }
+}
+
 /// Injects each fault at its time and returns the results in the order of the plans.
 pub async fn inject(
     fleet: Arc<Mutex<Fleet>>,
     faults: Vec<FaultPlan>,
     start: Instant,
 ) -> Vec<InjectedFault> {
+    let restarts = &Restarts::default();
     let tasks = faults.into_iter().map(|fault| {
         let fleet = Arc::clone(&fleet);
         async move {
             sleep_until(start + Duration::from_millis(fault.at_ms)).await;
             let at = start.elapsed();
-            let result = apply(&fleet, &fault.action).await;
+            let result = apply(&fleet, restarts, &fault.action).await;
             tracing::info!(event = 510, action = ?fault.action, ?result, "fault injected");
             let (effect, error) = match result {
                 Ok(effect) => (effect, None),
@@ -82,7 +97,11 @@
     futures::future::join_all(tasks).await
 }
 
-async fn apply(fleet: &Mutex<Fleet>, action: &FaultAction) -> Result<Effect, HarnessError> {
+async fn apply(
+    fleet: &Mutex<Fleet>,
+    restarts: &Restarts,
+    action: &FaultAction,
+) -> Result<Effect, HarnessError> {
     match action {
         FaultAction::KillPrimary { database } => {
             let mut fleet = fleet.lock().await;
@@ -107,6 +126,8 @@
             Ok(Effect::on_process(process))
         }
         FaultAction::Restart { process } => {
+            let restart = restarts.of(process).await;
+            let _restarting = restart.lock().await;
             let id = fleet.lock().await.process(process)?.id();
             wait_for_exit(fleet, process, id).await?;
             fleet.lock().await.restart(process).await?;
@@ -114,6 +135,9 @@
         }
         FaultAction::Stop { process } => {
             let id = {
+                // Otherwise the signal would go to the process that is being replaced.
+                let restart = restarts.of(process).await;
+                let _no_restart = restart.lock().await;
                 let mut fleet = fleet.lock().await;
                 let stopping = fleet.process(process)?;
                 stopping.terminate()?;
--- a/crates/bench/tests/run.rs
+++ b/crates/bench/tests/run.rs
@@ -128,3 +128,24 @@
         assert!(summary.served * 10 > summary.offered * 8, "{summary:?}");
     }
 }
+
+/// Guards against a stop that is lost because it goes to a process whose restart is pending; the
+/// next restart would then wait for a process that was never stopped (soak, seed 417).
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_during_a_restart_stops_the_new_process() {
+    let folder = TempDir::new().unwrap();
+    let host = |at_ms: u64, action: &str| json!({"at_ms": at_ms, "action": {"type": action, "process": "host-1"}});
+    let scenario = scenario(json!([
+        {"at_ms": 100, "action": {"type": "pause", "process": "host-1", "for_ms": 600}},
+        host(200, "stop"),
+        host(250, "restart"),
+        host(300, "stop"),
+        host(5000, "restart"),
+    ]));
+    let report = run(&scenario, &folder).await;
+    println!("{report}");
+    for step in &report.faults {
+        assert_eq!(step.error, None, "{:?}", step.action);
+    }
+    assert!(report.verdict.is_valid(), "{}", report.verdict);
+}
