Refuse messages that are too long without ending the session

Callers saw: a message of more than 1 MiB closed the session without an answer, with its values, prepared statements and transaction. A start message that was too long, or had no line end of the protocol, was dropped without an answer too.

Cause: the codec returned an error for such a line, which ends a framed stream; the answer TOOLARGE was never reached.

The session answers TOOLARGE and goes on.

--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -66,11 +66,16 @@
 async fn serve<P: Platform>(node: &Rc<Node<P>>, stream: TcpStream) -> Result<(), WireError> {
     socket::set_options(&stream)?;
     let mut connection: ClientConnection<P> = Framed::new(stream, P::ClientCodec::default());
-    let Ok(Some(first)) = tokio::time::timeout(START_TIMEOUT, connection.next()).await else {
-        return Ok(());
+    let first = match tokio::time::timeout(START_TIMEOUT, connection.next()).await {
+        Ok(Some(request)) => request?,
+        Ok(None) => return Ok(()),
+        // No complete message arrived in time.
+        Err(_) => Request::Invalid(ErrorCode::Malformed),
     };
-    let Request::Start { database, key } = first? else {
-        return refuse::<P>(&mut connection, ErrorCode::Malformed).await;
+    let (database, key) = match first {
+        Request::Start { database, key } => (database, key),
+        Request::Invalid(code) => return refuse::<P>(&mut connection, code).await,
+        _ => return refuse::<P>(&mut connection, ErrorCode::Malformed).await,
     };
     let mut session = Session::new(node.clone(), database, key);
     if let Err(code) = session.check_access() {
@@ -145,7 +150,11 @@
                     self.send_error(connection, ErrorCode::Malformed, None)
                         .await?
                 }
-                Request::Invalid(code) => self.send_error(connection, code, None).await?,
+                Request::Invalid(code) => {
+                    let database = &self.database;
+                    tracing::info!(event = 647, database, ?code, "message of a client refused");
+                    self.send_error(connection, code, None).await?;
+                }
             }
         }
     }
@@ -201,7 +210,12 @@
         if self.state != TransactionState::Idle && self.transaction.is_some() {
             self.state = TransactionState::Failed;
         }
-        let text = Bytes::from(cause.map_or_else(|| "not valid".to_owned(), |c| format!("{c:?}")));
+        let reason = match (cause, code) {
+            (Some(cause), _) => format!("{cause:?}"),
+            (None, ErrorCode::TooLarge) => "the message is too long".to_owned(),
+            (None, _) => "the message is not valid".to_owned(),
+        };
+        let text = Bytes::from(reason);
         connection.feed(Reply::Error { code, text }).await?;
         connection.send(ready(self.state)).await
     }
