Number the statements that are prepared on a member's connection

Callers saw: a prepared statement whose shape holds a space, such as `q2c WRITE 2b7`, ran as another shape with other arguments, and was told COMPLETE.

Cause: the proxy named the statement after its shape and wrote this name before the last field of PREPARE and EXECUTE, where a space ends it. The shape itself is a last field and may hold spaces.

A connection now numbers its statements and keeps which number stands for which shape, so a name holds no byte of a client's text and stays short.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use magnoliahatch_core::position::LogPosition;
 use tokio::sync::mpsc;
 
@@ -11,7 +12,6 @@
 use crate::member::channel_handle::ChannelHandle;
 use crate::member::channel_handle::QueuedJob;
 use crate::member::connection::Response;
-use crate::member::connection::prepared_name;
 use crate::member::connection_error::ConnectionError;
 use crate::member::pool::Pool;
 use crate::member::pooled_connection::PooledConnection;
@@ -241,7 +241,7 @@
     async fn try_execute(&mut self, job: &Job) -> Outcome {
         let start = clock::now();
         let until = start + job.timeout;
-        self.prepare(job).await?;
+        let prepared = self.prepare(job).await?;
         // An open transaction holds a connection, so its statements get the highest priority.
         let priority = if self.in_transaction {
             0
@@ -259,7 +259,7 @@
         {
             return Err(failure(ErrorCode::Aborted, Cause::Primary));
         }
-        let command = self.command(job);
+        let command = self.command(job, prepared);
         let sent = clock::now();
         let result = self.send(command, until.saturating_sub(sent)).await;
         drop(slot);
@@ -317,7 +317,8 @@
         }
     }
 
-    fn command(&self, job: &Job) -> Command {
+    /// The command that runs a job. `prepared` is the name of its prepared statement.
+    fn command(&self, job: &Job, prepared: Option<Bytes>) -> Command {
         let id = job.id.clone();
         // Inside a transaction, BEGIN already required the position.
         let after = if self.in_transaction {
@@ -338,19 +339,18 @@
                 text: text.clone(),
             },
             Work::Execute {
-                access,
-                template,
-                arguments,
+                access, arguments, ..
             } => Command::Execute {
                 id,
                 after: after.filter(|_| *access == Access::Read),
-                name: prepared_name(*access, template),
+                name: prepared.unwrap_or_default(),
                 arguments: arguments.clone(),
             },
         }
     }
 
-    async fn prepare(&mut self, job: &Job) -> Result<(), Failure> {
+    /// Prepares the connection for a job. Returns the name of the job's prepared statement.
+    async fn prepare(&mut self, job: &Job) -> Result<Option<Bytes>, Failure> {
         let template = match &job.work {
             Work::Execute {
                 access, template, ..
--- a/crates/gateway/src/member/connection.rs
+++ b/crates/gateway/src/member/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a member.
 
-use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,7 +43,10 @@
     stream: Framed<TcpStream, P::MemberCodec>,
     pub organisation: OrganisationId,
     values: Values,
-    prepared: BTreeSet<Bytes>,
+    /// Names of the prepared statements, by what they run.
+    prepared: HashMap<(Access, Bytes), Bytes>,
+    /// Number of statements that were prepared on this connection.
+    prepared_count: u64,
     /// The pool's generation when the connection was opened. Connections of an older generation are
     /// not reused.
     pub generation: u64,
@@ -84,19 +87,21 @@
             stream,
             organisation: organisation.to_owned(),
             values: Values::new(),
-            prepared: BTreeSet::new(),
+            prepared: HashMap::new(),
+            prepared_count: 0,
             generation: 0,
             last_used: Duration::ZERO,
         })
     }
 
     /// Sets exactly the values of a session on the connection, and prepares a statement if one is
-    /// needed. All commands are sent before the first answer is awaited.
+    /// needed. Returns the name of that statement. All commands are sent before the first answer is
+    /// awaited.
     pub async fn prepare(
         &mut self,
         values: &Values,
         template: Option<(Access, &Bytes)>,
-    ) -> Result<(), ConnectionError> {
+    ) -> Result<Option<Bytes>, ConnectionError> {
         let is_unset = |v: &(Bytes, Bytes)| values.iter().all(|w| w.0 != v.0);
         let mut commands = Vec::new();
         if self.values.iter().any(is_unset) {
@@ -113,22 +118,27 @@
             }
         }
         self.values.clone_from(values);
-        if let Some((access, template)) = template {
-            let name = prepared_name(access, template);
-            if self.prepared.insert(name.clone()) {
-                commands.push(Command::Prepare {
-                    name,
-                    access,
-                    template: template.clone(),
-                });
+        let name = template.map(|(access, template)| {
+            let key = (access, template.clone());
+            if let Some(name) = self.prepared.get(&key) {
+                return name.clone();
             }
-        }
+            self.prepared_count += 1;
+            let name = Bytes::from(format!("s{}", self.prepared_count));
+            self.prepared.insert(key, name.clone());
+            commands.push(Command::Prepare {
+                name: name.clone(),
+                access,
+                template: template.clone(),
+            });
+            name
+        });
         let count = commands.len();
         for command in commands {
             self.stream.feed(command).await?;
         }
         if count == 0 {
-            return Ok(());
+            return Ok(name);
         }
         self.stream.flush().await?;
         for _ in 0..count {
@@ -137,7 +147,7 @@
                 return Err(ConnectionError::Protocol);
             }
         }
-        Ok(())
+        Ok(name)
     }
 
     /// Sends a command and waits for the complete answer.
@@ -176,12 +186,3 @@
         }
     }
 }
-
-/// Name of a prepared statement on a connection. Sessions that prepare the same statement share it.
-pub fn prepared_name(access: Access, template: &[u8]) -> Bytes {
-    let prefix = match access {
-        Access::Read => b"r_",
-        Access::Write => b"w_",
-    };
-    [prefix.as_slice(), template].concat().into()
-}
