Send a line only if its peer reads the given fields from it

Callers saw: statements of an organisation whose name holds a space were sent under the name before the space, and a read of the greatest length was sent as a message of more than 1 MiB, with its position before it.

Cause: the encoder wrote the fields that it was given one after the other and did not check what a peer reads from the line.

LineCodec writes a line only if no field holds a line end, none but the last is empty or holds a space, and the line has at most 1 MiB. Otherwise it writes nothing, and the statement is refused with TOOLARGE or MALFORMED (cause Message).

Evidence: three tests of messages failed on (a statement of `org-b more` ran for `org-b`, two texts that are too long were answered). Each check, the removal of what was written, and the length in the encoder, taken out one at a time: fields_are_read_as_they_were_given_or_ refused fails for the first three, two tests of messages for the last.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -268,6 +268,9 @@
         match result {
             Ok(response) => self.on_response(response, sent, durable),
             Err(error) => {
+                if let Some(refusal) = error.refusal() {
+                    return Err(self.refuse(refusal));
+                }
                 self.pool.on_no_answer(&error, sent);
                 self.in_transaction = false;
                 let code = if durable {
@@ -362,9 +365,12 @@
         };
         let sent = clock::now();
         let result = connection.prepare(&job.values, template).await;
-        result.map_err(|error| {
-            self.pool.on_no_answer(&error, sent);
-            self.discard_connection()
+        result.map_err(|error| match error.refusal() {
+            Some(refusal) => self.refuse(refusal),
+            None => {
+                self.pool.on_no_answer(&error, sent);
+                self.discard_connection()
+            }
         })
     }
 
@@ -375,13 +381,22 @@
     ) -> Result<Response, ConnectionError> {
         let connection = self.connection.as_mut().ok_or(ConnectionError::Closed)?;
         let result = connection.run(command, timeout).await;
-        if result.is_err() {
+        if result.as_ref().is_err_and(|e| e.refusal().is_none()) {
             // A late answer must not be taken for that of another statement.
             self.connection = None;
         }
         result
     }
 
+    /// Fails a statement of which nothing was sent. Outside a transaction, the connection is free for
+    /// others.
+    fn refuse(&mut self, refusal: Failure) -> Failure {
+        if !self.in_transaction {
+            self.release();
+        }
+        refusal
+    }
+
     fn discard_connection(&mut self) -> Failure {
         self.connection = None;
         self.in_transaction = false;
--- a/crates/gateway/src/member/connection.rs
+++ b/crates/gateway/src/member/connection.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures::SinkExt;
 use futures::StreamExt;
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::position::LogPosition;
 use tokio::net::TcpStream;
+use tokio_util::codec::Encoder;
 use tokio_util::codec::Framed;
 
 use crate::member::connection_error::ConnectionError;
@@ -21,6 +23,7 @@
 use crate::model::transaction_state::TransactionState;
 use crate::platform::Platform;
 use crate::socket;
+use crate::wire_error::WireError;
 
 /// Time limit for connecting, and for the start message and its answer. A member that accepts uses
 /// one of its slots for 12 ms.
@@ -62,18 +65,23 @@
         member: &str,
         organisation: &str,
     ) -> Result<Self, ConnectionError> {
+        let start = Command::Start {
+            service: service.to_owned(),
+            organisation: organisation.to_owned(),
+            member: member.to_owned(),
+        };
+        let mut codec = P::MemberCodec::default();
+        let mut encoded = BytesMut::new();
+        codec
+            .encode(start, &mut encoded)
+            .map_err(ConnectionError::NotSent)?;
         let opening = async {
             let stream = socket::connect(address, OPEN_TIMEOUT)
                 .await
                 .map_err(|e| ConnectionError::Wire(e.into()))?;
-            let mut stream = Framed::new(stream, P::MemberCodec::default());
-            stream
-                .send(Command::Start {
-                    service: service.to_owned(),
-                    organisation: organisation.to_owned(),
-                    member: member.to_owned(),
-                })
-                .await?;
+            let mut stream = Framed::new(stream, codec);
+            stream.write_buffer_mut().unsplit(encoded);
+            SinkExt::<Command>::flush(&mut stream).await?;
             match stream.next().await.ok_or(ConnectionError::Closed)?? {
                 Reply::Ready { .. } => Ok(stream),
                 Reply::Error { code, .. } => Err(ConnectionError::Refused(code)),
@@ -103,44 +111,48 @@
         template: Option<(Access, &Bytes)>,
     ) -> Result<Option<Bytes>, ConnectionError> {
         let is_unset = |v: &(Bytes, Bytes)| values.iter().all(|w| w.0 != v.0);
+        let reset = self.values.iter().any(is_unset);
         let mut commands = Vec::new();
-        if self.values.iter().any(is_unset) {
+        if reset {
             commands.push(Command::Reset);
-            self.values.clear();
-            self.prepared.clear();
         }
         for (name, value) in values {
-            if !self.values.iter().any(|v| v.0 == *name && v.1 == *value) {
+            let is_set = self.values.iter().any(|v| v.0 == *name && v.1 == *value);
+            if reset || !is_set {
                 commands.push(Command::Set {
                     name: name.clone(),
                     value: value.clone(),
                 });
             }
         }
-        self.values.clone_from(values);
-        let name = template.map(|(access, template)| {
-            let key = (access, template.clone());
-            if let Some(name) = self.prepared.get(&key) {
-                return name.clone();
-            }
-            self.prepared_count += 1;
-            let name = Bytes::from(format!("s{}", self.prepared_count));
-            self.prepared.insert(key, name.clone());
+        let statement = template.map(|(access, template)| (access, template.clone()));
+        let known = statement.as_ref().and_then(|s| self.prepared.get(s));
+        let known = known.filter(|_| !reset).cloned();
+        let is_known = known.is_some();
+        let new_name = || Bytes::from(format!("s{}", self.prepared_count));
+        let name = statement.as_ref().map(|_| known.unwrap_or_else(new_name));
+        let new = statement.zip(name.clone()).filter(|_| !is_known);
+        if let Some(((access, template), name)) = &new {
             commands.push(Command::Prepare {
                 name: name.clone(),
-                access,
+                access: *access,
                 template: template.clone(),
             });
-            name
-        });
+        }
         let count = commands.len();
-        for command in commands {
-            self.stream.feed(command).await?;
+        self.encode(commands)?;
+        if reset {
+            self.prepared.clear();
+        }
+        self.values.clone_from(values);
+        if let Some((statement, name)) = new {
+            self.prepared.insert(statement, name);
+            self.prepared_count += 1;
         }
         if count == 0 {
             return Ok(name);
         }
-        self.stream.flush().await?;
+        self.flush().await?;
         for _ in 0..count {
             let answer = self.receive_within(SETUP_TIMEOUT).await?;
             if answer.result.is_err() {
@@ -156,10 +168,33 @@
         command: Command,
         timeout: Duration,
     ) -> Result<Response, ConnectionError> {
-        self.stream.send(command).await?;
+        self.encode([command])?;
+        self.flush().await?;
         self.receive_within(timeout).await
     }
 
+    /// Encodes commands to be sent by the next `flush`: all of them, or none if one cannot be encoded.
+    fn encode(
+        &mut self,
+        commands: impl IntoIterator<Item = Command>,
+    ) -> Result<(), ConnectionError> {
+        let mut buffer = std::mem::take(self.stream.write_buffer_mut());
+        let start = buffer.len();
+        let codec = self.stream.codec_mut();
+        let encoded = commands
+            .into_iter()
+            .try_for_each(|command| codec.encode(command, &mut buffer));
+        if encoded.is_err() {
+            buffer.truncate(start);
+        }
+        *self.stream.write_buffer_mut() = buffer;
+        encoded.map_err(ConnectionError::NotSent)
+    }
+
+    async fn flush(&mut self) -> Result<(), WireError> {
+        SinkExt::<Command>::flush(&mut self.stream).await
+    }
+
     async fn receive_within(&mut self, timeout: Duration) -> Result<Response, ConnectionError> {
         tokio::time::timeout(timeout, self.receive())
             .await
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -368,10 +368,10 @@
                 }
                 Err(failure(ErrorCode::Busy, Cause::Member))
             }
-            Err(error) => {
+            Err(error) => Err(error.refusal().unwrap_or_else(|| {
                 self.on_no_answer(&error, now);
-                Err(failure(ErrorCode::Busy, Cause::Connection))
-            }
+                failure(ErrorCode::Busy, Cause::Connection)
+            })),
         }
     }
 
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -52,6 +52,8 @@
     /// The key belongs to another organisation since the statement or its transaction began, or the
     /// organisation's statements may no longer run in the regions that the transaction uses.
     Access,
+    /// The statement cannot be passed on as one message. It was not sent.
+    Message,
 }
 
 /// Result of a job.
--- a/crates/gateway/src/wire_error.rs
+++ b/crates/gateway/src/wire_error.rs
@@ -13,4 +13,6 @@
     TooLarge(usize),
     #[error("a message is not valid: {0}")]
     Malformed(&'static str),
+    #[error("a message cannot be encoded: {0}")]
+    Unencodable(&'static str),
 }
