Tell answers of a member that cannot be used from its silence

Callers saw: after one client had set a session value that a member refuses, each of its statements closed the connections of all sessions of the host to this member, and the host did not use the member for 1.5 s: other organisations got BUSY at a primary. A row of more than 1 MiB and a message that the protocol does not know did the same.

Cause: each error of a connection counted as no answer, so that the member's other connections were closed and the way to it was avoided.

ConnectionError::is_answer separates the two. After an answer only its own connection is closed, and the client is told what happened: the member's code for what it refused, TOOLARGE or ABORTED for a read, UNKNOWN for a commit (cause Reply).

Evidence: both new tests of messages failed before with `BUSY Peer`. With is_answer ignored by the pool they fail again.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -255,8 +255,8 @@
             true
         }
         Cause::Primary => true,
-        Cause::Member | Cause::Floor | Cause::NoMember => {
-            // Another member may have applied the position, or have free capacity.
+        Cause::Member | Cause::Reply | Cause::Floor | Cause::NoMember => {
+            // Another member may have applied the position, have free capacity, or answer.
             statement.may_use_replica() && attempted.members.insert(member.clone())
         }
         _ => false,
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -150,15 +150,20 @@
         };
         let sent = clock::now();
         let response = self.send(command, job.timeout).await.map_err(|error| {
-            self.pool.on_no_answer(&error, sent);
-            failure(ErrorCode::Aborted, Cause::Connection)
+            self.pool.on_error(&error, sent);
+            error.failure(false)
         })?;
         match response.result {
             Ok(_) if response.state == TransactionState::Open => {
                 self.in_transaction = true;
                 Ok(())
             }
-            Ok(_) => Err(self.discard_connection()),
+            Ok(_) => {
+                let error = ConnectionError::Protocol;
+                self.pool.on_error(&error, sent);
+                self.discard_connection();
+                Err(error.failure(false))
+            }
             Err((code, _)) => {
                 if response.state == TransactionState::Idle {
                     self.release();
@@ -268,17 +273,8 @@
         match result {
             Ok(response) => self.on_response(response, sent, durable),
             Err(error) => {
-                if let Some(refusal) = error.refusal() {
-                    return Err(self.refuse(refusal));
-                }
-                self.pool.on_no_answer(&error, sent);
-                self.in_transaction = false;
-                let code = if durable {
-                    ErrorCode::Unknown
-                } else {
-                    ErrorCode::Aborted
-                };
-                Err(failure(code, Cause::Connection))
+                self.on_error(&error, sent);
+                Err(error.failure(durable))
             }
         }
     }
@@ -365,15 +361,23 @@
         };
         let sent = clock::now();
         let result = connection.prepare(&job.values, template).await;
-        result.map_err(|error| match error.refusal() {
-            Some(refusal) => self.refuse(refusal),
-            None => {
-                self.pool.on_no_answer(&error, sent);
-                self.discard_connection()
-            }
+        result.map_err(|error| {
+            self.on_error(&error, sent);
+            error.failure(false)
         })
     }
 
+    /// Releases or closes the connection after a failed command. If nothing was sent, the connection
+    /// is unchanged; an open transaction is then rolled back when the channel closes.
+    fn on_error(&mut self, error: &ConnectionError, sent: Duration) {
+        if !error.is_unsent() {
+            self.pool.on_error(error, sent);
+            self.discard_connection();
+        } else if !self.in_transaction {
+            self.release();
+        }
+    }
+
     async fn send(
         &mut self,
         command: Command,
@@ -381,26 +385,16 @@
     ) -> Result<Response, ConnectionError> {
         let connection = self.connection.as_mut().ok_or(ConnectionError::Closed)?;
         let result = connection.run(command, timeout).await;
-        if result.as_ref().is_err_and(|e| e.refusal().is_none()) {
+        if result.as_ref().is_err_and(|e| !e.is_unsent()) {
             // A late answer must not be taken for that of another statement.
             self.connection = None;
         }
         result
     }
 
-    /// Fails a statement of which nothing was sent. Outside a transaction, the connection is free for
-    /// others.
-    fn refuse(&mut self, refusal: Failure) -> Failure {
-        if !self.in_transaction {
-            self.release();
-        }
-        refusal
-    }
-
-    fn discard_connection(&mut self) -> Failure {
+    fn discard_connection(&mut self) {
         self.connection = None;
         self.in_transaction = false;
-        failure(ErrorCode::Aborted, Cause::Connection)
     }
 
     fn release(&mut self) {
@@ -419,7 +413,7 @@
                     self.in_transaction = false
                 }
                 Ok(_) => self.connection = None,
-                Err(error) => self.pool.on_no_answer(&error, sent),
+                Err(error) => self.pool.on_error(&error, sent),
             }
         }
         self.release();
--- a/crates/gateway/src/member/connection.rs
+++ b/crates/gateway/src/member/connection.rs
@@ -155,8 +155,8 @@
         self.flush().await?;
         for _ in 0..count {
             let answer = self.receive_within(SETUP_TIMEOUT).await?;
-            if answer.result.is_err() {
-                return Err(ConnectionError::Protocol);
+            if let Err((code, _)) = answer.result {
+                return Err(ConnectionError::Refused(code));
             }
         }
         Ok(name)
--- a/crates/gateway/src/member/connection_error.rs
+++ b/crates/gateway/src/member/connection_error.rs
@@ -20,21 +20,47 @@
     Closed,
     #[error("the member did not answer in time")]
     Timeout,
-    #[error("the member refused the connection: {0:?}")]
+    #[error("the member refused the connection or a command that prepares it: {0:?}")]
     Refused(ErrorCode),
     #[error("the member's answer violates the protocol")]
     Protocol,
 }
 
 impl ConnectionError {
-    /// The failure of a statement whose command was not sent; `None` for other errors.
-    pub fn refusal(&self) -> Option<Failure> {
+    /// Whether nothing of the command was sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+
+    /// Whether the member answered, so that its other connections need not be broken.
+    pub fn is_answer(&self) -> bool {
         match self {
-            Self::NotSent(WireError::TooLarge(_)) => {
-                Some(failure(ErrorCode::TooLarge, Cause::Message))
-            }
-            Self::NotSent(_) => Some(failure(ErrorCode::Malformed, Cause::Message)),
-            _ => None,
+            Self::Wire(WireError::Io(_)) | Self::Closed | Self::Timeout | Self::NotSent(_) => false,
+            Self::Wire(_) | Self::Refused(_) | Self::Protocol => true,
         }
     }
+
+    /// The failure of a statement whose command ended with this error. `durable` tells whether the
+    /// command commits a change, which may have taken effect unless it was not sent.
+    pub fn failure(&self, durable: bool) -> Failure {
+        match self {
+            Self::NotSent(WireError::TooLarge(_)) => failure(ErrorCode::TooLarge, Cause::Message),
+            Self::NotSent(_) => failure(ErrorCode::Malformed, Cause::Message),
+            _ if durable && self.is_answer() => failure(ErrorCode::Unknown, Cause::Reply),
+            _ if durable => failure(ErrorCode::Unknown, Cause::Connection),
+            Self::Refused(code) => failure(refusal_code(*code), Cause::Member),
+            Self::Wire(WireError::TooLarge(_)) => failure(ErrorCode::TooLarge, Cause::Reply),
+            _ if self.is_answer() => failure(ErrorCode::Aborted, Cause::Reply),
+            _ => failure(ErrorCode::Aborted, Cause::Connection),
+        }
+    }
+}
+
+/// The code for a statement that was not sent since the member refused what had to precede it.
+fn refusal_code(code: ErrorCode) -> ErrorCode {
+    match code {
+        ErrorCode::TooLarge | ErrorCode::Malformed => code,
+        _ if code.not_run() => code,
+        _ => ErrorCode::Aborted,
+    }
 }
--- a/crates/gateway/src/member/control.rs
+++ b/crates/gateway/src/member/control.rs
@@ -46,7 +46,7 @@
             Some(answered.rows)
         }
         Err(error) => {
-            pool.on_no_answer(&error, sent);
+            pool.on_error(&error, sent);
             None
         }
     }
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -169,10 +169,15 @@
         }
     }
 
-    /// Records that a command sent at `sent` failed on its connection. Unless the member has
-    /// answered on another connection since, the idle connections may be broken as well and are
-    /// closed.
-    pub fn on_no_answer(&self, error: &ConnectionError, sent: Duration) {
+    /// Records that a command sent at `sent` failed on its connection. If it got no answer, and the
+    /// member has not answered on another connection since, the idle connections may be broken as well
+    /// and are closed.
+    pub fn on_error(&self, error: &ConnectionError, sent: Duration) {
+        if error.is_answer() {
+            let member = &self.endpoint.member;
+            tracing::warn!(event = 624, member, %error, "answer of a member closed its connection");
+            return;
+        }
         if self.last_answer.get().is_some_and(|at| at > sent) {
             let member = &self.endpoint.member;
             tracing::debug!(event = 623, member, %error, "one connection to a member failed");
@@ -368,10 +373,15 @@
                 }
                 Err(failure(ErrorCode::Busy, Cause::Member))
             }
-            Err(error) => Err(error.refusal().unwrap_or_else(|| {
-                self.on_no_answer(&error, now);
-                failure(ErrorCode::Busy, Cause::Connection)
-            })),
+            Err(error) if error.is_unsent() => Err(error.failure(false)),
+            Err(error) => {
+                self.on_error(&error, now);
+                if error.is_answer() {
+                    // What listens there does not accept connections as a member does.
+                    self.last_failure.set(Some(now));
+                }
+                Err(failure(ErrorCode::Busy, Cause::Connection))
+            }
         }
     }
 
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -54,6 +54,8 @@
     Access,
     /// The statement cannot be passed on as one message. It was not sent.
     Message,
+    /// The member's answer cannot be passed on.
+    Reply,
 }
 
 /// Result of a job.
