Fail only the call whose frame between two hosts is too large

Callers saw: when a statement with session values of 5 MB went to another host's connections, or an answer of that size came back, the connection between the two hosts ended. Writes of other sessions on it were told UNKNOWN, and so was the large write, which had not been sent.

Cause: frames were encoded by the task that writes the connection, so a frame of more than 4 MiB ended that task.

Frames are encoded and checked before they are queued. The one call fails, and its statement runs on the host's own connection to the member instead; a transaction that is open on the other host is refused with TOOLARGE.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -93,6 +93,9 @@
 struct Attempts {
     members: BTreeSet<MemberId>,
     count: u32,
+    /// Whether only this host's own connections may be used, since the statement or its answer is too
+    /// large for a frame between hosts.
+    direct: bool,
 }
 
 /// Runs the first statement of an operation. If it succeeds and begins a transaction, the returned
@@ -115,7 +118,10 @@
             }
         };
         let usable = |host: &HostId| {
-            !node.loads.is_avoided(&member, host) && may_forward(node, &statement, host)
+            let is_own = *host == node.settings.host;
+            !node.loads.is_avoided(&member, host)
+                && may_forward(node, &statement, host)
+                && (is_own || !attempted.direct)
         };
         let Some(host) = node.home(&member, usable) else {
             if statement.may_use_replica() && attempted.members.insert(member) {
@@ -239,6 +245,11 @@
     host: &HostId,
     error: &Failure,
 ) -> bool {
+    if error.code == ErrorCode::TooLarge && error.cause == Cause::Peer {
+        // Nothing is kept: it was not sent, or it is a read or in a transaction that is rolled back.
+        attempted.direct = true;
+        return true;
+    }
     let reads = statement.may_use_replica()
         || statement.transaction.is_some()
         || !statement.job.work.writes();
--- a/crates/gateway/src/front/remote.rs
+++ b/crates/gateway/src/front/remote.rs
@@ -40,7 +40,10 @@
                 job: Box::new(job),
             };
             let answer = node.mesh.call(&host, call, limit).await;
-            sent |= !matches!(answer, Err(CallError::Unreachable | CallError::Ended));
+            sent |= !matches!(
+                answer,
+                Err(CallError::Unreachable | CallError::Ended | CallError::TooLarge)
+            );
             let outcome = outcome(answer, durable);
             let failed = outcome.is_err();
             // The caller may be gone; it then closes the queue, which ends the loop.
@@ -77,6 +80,7 @@
         Err(CallError::Unreachable | CallError::Ended) => {
             Err(failure(ErrorCode::Busy, Cause::Peer))
         }
+        Err(CallError::TooLarge) => Err(failure(ErrorCode::TooLarge, Cause::Peer)),
         Ok(_) | Err(CallError::Lost) if durable => Err(failure(ErrorCode::Unknown, Cause::Peer)),
         Ok(_) | Err(CallError::Lost) => Err(failure(ErrorCode::Aborted, Cause::Peer)),
     }
--- a/crates/gateway/src/mesh/call_error.rs
+++ b/crates/gateway/src/mesh/call_error.rs
@@ -11,6 +11,9 @@
     /// Another process answers at the host's address, so the registered one has ended.
     #[error("the host's process has ended")]
     Ended,
+    /// The call was not sent, and others on the connection go on.
+    #[error("the call is too large for a frame")]
+    TooLarge,
     /// The call was sent, but it is unknown whether it was carried out.
     #[error("the connection ended, or the time limit passed, before the answer")]
     Lost,
--- a/crates/gateway/src/mesh/link.rs
+++ b/crates/gateway/src/mesh/link.rs
@@ -62,33 +62,29 @@
 impl LinkWriter {
     /// Sends one frame.
     pub async fn send<T: Serialize>(&mut self, body: &T) -> Result<(), WireError> {
-        self.feed(body).await?;
-        self.flush().await
+        Ok(self.frames.send(encode(body)?).await?)
     }
 
     /// Sends the queued frames until the queue closes. Frames that are queued together are flushed
     /// together.
-    pub async fn send_all<T: Serialize>(
-        &mut self,
-        queue: &mut mpsc::Receiver<T>,
-    ) -> Result<(), WireError> {
-        while let Some(body) = queue.recv().await {
-            self.feed(&body).await?;
-            while let Ok(body) = queue.try_recv() {
-                self.feed(&body).await?;
+    pub async fn send_all(&mut self, queue: &mut mpsc::Receiver<Bytes>) -> Result<(), WireError> {
+        while let Some(frame) = queue.recv().await {
+            self.frames.feed(frame).await?;
+            while let Ok(frame) = queue.try_recv() {
+                self.frames.feed(frame).await?;
             }
-            self.flush().await?;
+            SinkExt::<Bytes>::flush(&mut self.frames).await?;
         }
         Ok(())
     }
+}
 
-    async fn flush(&mut self) -> Result<(), WireError> {
-        Ok(SinkExt::<Bytes>::flush(&mut self.frames).await?)
-    }
-
-    async fn feed<T: Serialize>(&mut self, body: &T) -> Result<(), WireError> {
-        let frame = postcard::to_stdvec(body)
-            .map_err(|_| WireError::Malformed("a message cannot be encoded as a frame"))?;
-        Ok(self.frames.feed(Bytes::from(frame)).await?)
+/// Encodes a frame. Fails if it would exceed the largest one.
+pub fn encode<T: Serialize>(body: &T) -> Result<Bytes, WireError> {
+    let frame = postcard::to_stdvec(body)
+        .map_err(|_| WireError::Unencodable("it has no form as a frame"))?;
+    if frame.len() > MAX_FRAME_BYTES {
+        return Err(WireError::TooLarge(MAX_FRAME_BYTES));
     }
+    Ok(Bytes::from(frame))
 }
--- a/crates/gateway/src/mesh/peer_connection.rs
+++ b/crates/gateway/src/mesh/peer_connection.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -15,6 +16,7 @@
 use crate::mesh::frame::CallId;
 use crate::mesh::frame::Response;
 use crate::mesh::frame::WithId;
+use crate::mesh::link;
 use crate::policy::ping_schedule;
 
 /// A ping without an answer for this long closes the connection. Processes on shared cores answer
@@ -24,7 +26,7 @@
 /// The calling side of an open connection.
 #[derive(Debug)]
 pub struct PeerConnection {
-    queue: mpsc::Sender<WithId<Call>>,
+    queue: mpsc::Sender<Bytes>,
     pending: RefCell<HashMap<CallId, oneshot::Sender<Response>>>,
     /// When the last frame of the peer arrived.
     last_heard: Cell<Duration>,
@@ -34,7 +36,7 @@
 
 impl PeerConnection {
     /// Creates the calling side; frames to send are put into `queue`.
-    pub fn new(queue: mpsc::Sender<WithId<Call>>) -> Self {
+    pub fn new(queue: mpsc::Sender<Bytes>) -> Self {
         Self {
             queue,
             pending: RefCell::default(),
@@ -45,7 +47,8 @@
 
     /// Queues a message that has no answer.
     pub fn notify(&self, id: CallId, body: Call) -> Result<(), CallError> {
-        let sent = self.queue.try_send(WithId { id, body });
+        let frame = encode(id, body)?;
+        let sent = self.queue.try_send(frame);
         sent.map_err(|_| CallError::Unreachable)
     }
 
@@ -114,9 +117,10 @@
     }
 
     fn send(&self, id: CallId, body: Call) -> Result<oneshot::Receiver<Response>, CallError> {
+        let frame = encode(id, body)?;
         let (sender, receiver) = oneshot::channel();
         self.pending.borrow_mut().insert(id, sender);
-        if self.queue.try_send(WithId { id, body }).is_err() {
+        if self.queue.try_send(frame).is_err() {
             self.pending.borrow_mut().remove(&id);
             return Err(CallError::Unreachable);
         }
@@ -135,3 +139,7 @@
         }
     }
 }
+
+fn encode(id: CallId, body: Call) -> Result<Bytes, CallError> {
+    link::encode(&WithId { id, body }).map_err(|_| CallError::TooLarge)
+}
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -13,6 +14,7 @@
 use crate::member::channel_handle::ChannelHandle;
 use crate::member::control;
 use crate::mesh::frame::Call;
+use crate::mesh::frame::CallId;
 use crate::mesh::frame::ChannelId;
 use crate::mesh::frame::Hello;
 use crate::mesh::frame::PROTOCOL_VERSION;
@@ -21,6 +23,7 @@
 use crate::mesh::link;
 use crate::model::error_code::ErrorCode;
 use crate::model::outcome::Cause;
+use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
 use crate::node::Node;
 use crate::node::QUIESCE_TIMEOUT;
@@ -92,7 +95,7 @@
     from: &str,
     channels: &mut HashMap<ChannelId, ChannelHandle>,
     call: WithId<Call>,
-    answers: &mpsc::Sender<WithId<Response>>,
+    answers: &mpsc::Sender<Bytes>,
 ) {
     let id = call.id;
     match call.body {
@@ -108,6 +111,7 @@
             if let Some(target) = target {
                 channels.insert(channel, channel::spawn(node.clone(), target));
             }
+            let writes = job.work.writes();
             let sent = channels.get(&channel).map(|c| c.send(*job));
             let answers = answers.clone();
             tokio::task::spawn_local(async move {
@@ -115,7 +119,7 @@
                     Some(receiver) => channel_handle::outcome(receiver).await,
                     None => Err(failure(ErrorCode::Aborted, Cause::Idle)),
                 };
-                send_answer(&answers, id, Response::Outcome(outcome));
+                send_outcome(&answers, id, outcome, writes);
             });
         }
         body => {
@@ -170,8 +174,35 @@
     }
 }
 
-fn send_answer(answers: &mpsc::Sender<WithId<Response>>, id: u64, body: Response) {
-    if answers.try_send(WithId { id, body }).is_err() {
+/// Answers a statement. If its answer is too large for a frame, the caller is told only that.
+fn send_outcome(answers: &mpsc::Sender<Bytes>, id: CallId, outcome: Outcome, writes: bool) {
+    let body = Response::Outcome(outcome);
+    match link::encode(&WithId { id, body }) {
+        Ok(frame) => send_frame(answers, frame),
+        Err(error) => {
+            tracing::warn!(event = 625, %error, "answer of a member cannot be passed on to a host");
+            let code = if writes {
+                ErrorCode::Unknown
+            } else {
+                ErrorCode::TooLarge
+            };
+            let refused = Err(failure(code, Cause::Peer));
+            send_answer(answers, id, Response::Outcome(refused));
+        }
+    }
+}
+
+fn send_answer(answers: &mpsc::Sender<Bytes>, id: CallId, body: Response) {
+    match link::encode(&WithId { id, body }) {
+        Ok(frame) => send_frame(answers, frame),
+        Err(error) => {
+            tracing::warn!(event = 626, %error, "answer to a host was not sent");
+        }
+    }
+}
+
+fn send_frame(answers: &mpsc::Sender<Bytes>, frame: Bytes) {
+    if answers.try_send(frame).is_err() {
         tracing::debug!(
             event = 615,
             "dropped an answer to a host: the connection ended or its queue is full"
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -33,7 +33,8 @@
     Connection,
     /// No connection or slot became free in time.
     Queue,
-    /// The host that holds the member's connections cannot be reached.
+    /// The host that holds the member's connections cannot be reached, or, with the code `TooLarge`,
+    /// the statement or its answer is too large for a frame between the hosts.
     Peer,
     /// The primary is being replaced, or this host's view is too old to use it.
     Primary,
