--- a/crates/gateway/src/store_error.rs
+++ b/crates/gateway/src/store_error.rs
@@ -16,6 +16,9 @@
     /// The object has another revision. Holds the current object if the answer contained it.
     #[error("the object was changed by another writer")]
     Conflict(Option<Box<Object>>),
+    /// Nothing was sent.
+    #[error("the store can hold no object with the name {0:?}")]
+    Name(String),
     #[error("the object does not exist")]
     Missing,
     /// The store no longer has the history since the requested revision.
