Do not use a member's connection on which something unasked arrived

A member that sent more than the answer to a statement had the rest taken for the answer to the next statement on that connection, of whatever session: foreign rows with a success. A connection that the member had closed while it was idle failed its next statement, a write with UNKNOWN.

A connection is now checked before it is taken from the pool and before each command. A stale one is replaced; in a transaction nothing is sent and the statement is told ABORTED.

--- a/crates/gateway/src/member/connection.rs
+++ b/crates/gateway/src/member/connection.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures::FutureExt;
 use futures::SinkExt;
 use futures::StreamExt;
 use magnoliahatch_core::ids::OrganisationId;
@@ -102,6 +103,13 @@
         })
     }
 
+    /// Whether the member has closed the connection, or sent something that was not asked for, which the
+    /// next command would take for its answer.
+    pub fn is_stale(&mut self) -> bool {
+        let received = self.stream.next().now_or_never();
+        received.is_some() || !self.stream.read_buffer().is_empty()
+    }
+
     /// Sets exactly the values of a session on the connection, and prepares a statement if one is
     /// needed. Returns the name of that statement. All commands are sent before the first answer is
     /// awaited.
@@ -110,6 +118,9 @@
         values: &Values,
         template: Option<(Access, &Bytes)>,
     ) -> Result<Option<Bytes>, ConnectionError> {
+        if self.is_stale() {
+            return Err(ConnectionError::Stale);
+        }
         let is_unset = |v: &(Bytes, Bytes)| values.iter().all(|w| w.0 != v.0);
         let reset = self.values.iter().any(is_unset);
         let mut commands = Vec::new();
@@ -168,6 +179,9 @@
         command: Command,
         timeout: Duration,
     ) -> Result<Response, ConnectionError> {
+        if self.is_stale() {
+            return Err(ConnectionError::Stale);
+        }
         self.encode([command])?;
         self.flush().await?;
         self.receive_within(timeout).await
--- a/crates/gateway/src/member/connection_error.rs
+++ b/crates/gateway/src/member/connection_error.rs
@@ -16,6 +16,9 @@
     /// The connection can still be used.
     #[error("the command was not sent: {0}")]
     NotSent(WireError),
+    /// Nothing of the command was sent.
+    #[error("the member had closed the connection, or sent something that was not asked for")]
+    Stale,
     #[error("the member closed the connection")]
     Closed,
     #[error("the member did not answer in time")]
@@ -32,12 +35,12 @@
         matches!(self, Self::NotSent(_))
     }
 
-    /// Whether the member answered, so that its other connections need not be broken.
-    pub fn is_answer(&self) -> bool {
-        match self {
-            Self::Wire(WireError::Io(_)) | Self::Closed | Self::Timeout | Self::NotSent(_) => false,
-            Self::Wire(_) | Self::Refused(_) | Self::Protocol => true,
-        }
+    /// Whether the member did not answer, so that its other connections may be broken as well.
+    pub fn is_silence(&self) -> bool {
+        matches!(
+            self,
+            Self::Wire(WireError::Io(_)) | Self::Closed | Self::Timeout
+        )
     }
 
     /// The failure of a statement whose command ended with this error. `durable` tells whether the
@@ -46,12 +49,13 @@
         match self {
             Self::NotSent(WireError::TooLarge(_)) => failure(ErrorCode::TooLarge, Cause::Message),
             Self::NotSent(_) => failure(ErrorCode::Malformed, Cause::Message),
-            _ if durable && self.is_answer() => failure(ErrorCode::Unknown, Cause::Reply),
-            _ if durable => failure(ErrorCode::Unknown, Cause::Connection),
+            Self::Stale => failure(ErrorCode::Aborted, Cause::Connection),
+            _ if durable && self.is_silence() => failure(ErrorCode::Unknown, Cause::Connection),
+            _ if durable => failure(ErrorCode::Unknown, Cause::Reply),
+            _ if self.is_silence() => failure(ErrorCode::Aborted, Cause::Connection),
             Self::Refused(code) => failure(refusal_code(*code), Cause::Member),
             Self::Wire(WireError::TooLarge(_)) => failure(ErrorCode::TooLarge, Cause::Reply),
-            _ if self.is_answer() => failure(ErrorCode::Aborted, Cause::Reply),
-            _ => failure(ErrorCode::Aborted, Cause::Connection),
+            _ => failure(ErrorCode::Aborted, Cause::Reply),
         }
     }
 }
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -173,9 +173,9 @@
     /// member has not answered on another connection since, the idle connections may be broken as well
     /// and are closed.
     pub fn on_error(&self, error: &ConnectionError, sent: Duration) {
-        if error.is_answer() {
+        if !error.is_silence() {
             let member = &self.endpoint.member;
-            tracing::warn!(event = 624, member, %error, "answer of a member closed its connection");
+            tracing::warn!(event = 624, member, %error, "one connection to a member is not used again");
             return;
         }
         if self.last_answer.get().is_some_and(|at| at > sent) {
@@ -252,7 +252,14 @@
             let chosen = choose(&idle, total, limits);
             match limit_opening(chosen, self.opening.get(), self.endpoint.slots) {
                 Plan::Use(index) => {
-                    let connection = self.idle.borrow_mut().remove(index);
+                    let mut connection = self.idle.borrow_mut().remove(index);
+                    if connection.is_stale() {
+                        let member = &self.endpoint.member;
+                        tracing::debug!(event = 627, member, "idle connection is stale");
+                        drop(connection);
+                        self.on_closed();
+                        continue;
+                    }
                     return Ok(PooledConnection::new(self.clone(), connection));
                 }
                 Plan::Open => return self.open(organisation).await,
@@ -376,7 +383,7 @@
             Err(error) if error.is_unsent() => Err(error.failure(false)),
             Err(error) => {
                 self.on_error(&error, now);
-                if error.is_answer() {
+                if !error.is_silence() {
                     // What listens there does not accept connections as a member does.
                     self.last_failure.set(Some(now));
                 }
