--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Sessions of clients.
 
+pub mod credentials;
 pub mod dispatch;
 pub mod listener;
 pub mod member_loads;
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -13,6 +13,8 @@
 use tokio_util::codec::Framed;
 
 use crate::clock;
+use crate::front::credentials::ANONYMOUS;
+use crate::front::credentials::Credentials;
 use crate::front::dispatch;
 use crate::front::dispatch::FirstStatement;
 use crate::front::messages::ClientConnection;
@@ -21,7 +23,6 @@
 use crate::front::messages::refuse;
 use crate::front::transaction::Transaction;
 use crate::member::channel_handle;
-use crate::model::configuration::Configuration;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Job;
 use crate::model::job::Values;
@@ -31,10 +32,8 @@
 use crate::model::outcome::Failure;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
-use crate::model::region_limit::RegionLimit;
 use crate::model::reply::Reply;
 use crate::model::request::Request;
-use crate::model::route::Route;
 use crate::model::statement::Access;
 use crate::model::statement::Statement;
 use crate::model::transaction_state::TransactionState;
@@ -50,9 +49,6 @@
 /// that has just received an answer is likely to send its next request at once, and closing
 /// immediately would fail that request.
 const STOP_IDLE_TIME: Duration = Duration::from_millis(300);
-/// Organisation of sessions without a valid key, on routes that allow anonymous access.
-const ANONYMOUS: &str = "-";
-
 /// Serves a client until the session ends.
 pub async fn run<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
     node.sessions.set(node.sessions.get() + 1);
@@ -77,18 +73,18 @@
         Request::Invalid(code) => return refuse::<P>(&mut connection, code).await,
         _ => return refuse::<P>(&mut connection, ErrorCode::Malformed).await,
     };
-    let mut session = Session::new(node.clone(), database, key);
-    if let Err(code) = session.check_access() {
+    let credentials = Credentials::new(node.clone(), &database, &key);
+    if let Err(code) = credentials.check() {
         return refuse::<P>(&mut connection, code).await;
     }
+    let mut session = Session::new(node.clone(), credentials);
     connection.send(ready(TransactionState::Idle)).await?;
     session.run(&mut connection).await
 }
 
 struct Session<P: Platform> {
     node: Rc<Node<P>>,
-    database: String,
-    key: String,
+    credentials: Credentials<P>,
     values: Values,
     prepared: HashMap<Bytes, (Access, Bytes)>,
     state: TransactionState,
@@ -98,12 +94,10 @@
 }
 
 impl<P: Platform> Session<P> {
-    fn new(node: Rc<Node<P>>, database: Bytes, key: Bytes) -> Self {
-        let text = |b: &Bytes| String::from_utf8_lossy(b).into_owned();
+    fn new(node: Rc<Node<P>>, credentials: Credentials<P>) -> Self {
         Self {
             node,
-            database: text(&database),
-            key: text(&key),
+            credentials,
             values: Values::new(),
             prepared: HashMap::new(),
             state: TransactionState::Idle,
@@ -151,7 +145,7 @@
                         .await?
                 }
                 Request::Invalid(code) => {
-                    let database = &self.database;
+                    let database = &self.credentials.database;
                     tracing::info!(event = 647, database, ?code, "message of a client refused");
                     self.send_error(connection, code, None).await?;
                 }
@@ -176,9 +170,10 @@
                     connection.feed(Reply::Row(row)).await?;
                 }
                 connection.feed(Reply::Complete(Some(answer.proof))).await?;
-                self.node
-                    .metrics
-                    .record_answered(&self.database, clock::now().saturating_sub(started));
+                self.node.metrics.record_answered(
+                    &self.credentials.database,
+                    clock::now().saturating_sub(started),
+                );
             }
             Ok(None) => connection.feed(Reply::Complete(None)).await?,
             Err(error) => {
@@ -196,8 +191,10 @@
         let id = String::from_utf8_lossy(id);
         let waited = waited.as_millis() as u64;
         let (code, cause) = (error.code, error.cause);
-        self.node.metrics.count_failure(&self.database, error);
-        let database = &self.database;
+        self.node
+            .metrics
+            .count_failure(&self.credentials.database, error);
+        let database = &self.credentials.database;
         tracing::info!(event = 661, %id, database, ?code, ?cause, waited, "statement failed");
     }
 
@@ -238,7 +235,7 @@
             }
             (TransactionState::Failed, _) => Err(malformed()),
             (TransactionState::Idle, Statement::Begin { read_only }) => {
-                let route = self.route()?;
+                let route = self.credentials.route()?;
                 self.transaction = Some(Transaction {
                     read_only,
                     route: Rc::new(route),
@@ -315,7 +312,7 @@
             .is_some_and(|t| t.channel.is_some());
         let route = match &self.transaction {
             Some(transaction) => transaction.route.clone(),
-            None => Rc::new(self.route()?),
+            None => Rc::new(self.credentials.route()?),
         };
         let durable = matches!(work, Work::Commit) || (read_only.is_none() && work.writes());
         let job = Job {
@@ -331,8 +328,8 @@
                 return Err(failure(ErrorCode::Busy, Cause::Rate));
             }
             let first = FirstStatement {
-                regions: self.regions(&organisation)?,
-                read_regions: &|| self.current_regions(&organisation),
+                regions: self.credentials.regions(&organisation)?,
+                read_regions: &|| self.credentials.current_regions(&organisation),
                 route: &route,
                 organisation: &organisation,
                 transaction: read_only,
@@ -369,26 +366,6 @@
         outcome
     }
 
-    /// Checks that the route exists and that the key gives access to it.
-    fn check_access(&self) -> Result<(), ErrorCode> {
-        self.route().map_err(|f| f.code)?;
-        self.organisation().map_err(|f| f.code)?;
-        Ok(())
-    }
-
-    fn configuration(&self) -> Result<Rc<Configuration>, Failure> {
-        let configuration = self.node.configuration();
-        configuration.ok_or(failure(ErrorCode::Busy, Cause::Stale))
-    }
-
-    fn route(&self) -> Result<Route, Failure> {
-        let configuration = self.configuration()?;
-        let route = configuration.routes.get(&self.database);
-        route
-            .cloned()
-            .ok_or(failure(ErrorCode::NoDatabase, Cause::Member))
-    }
-
     /// Returns the organisation for which the next statement runs. Rolls an open transaction back if
     /// the current configuration does not allow it to go on.
     fn authorise(&mut self) -> Result<OrganisationId, Failure> {
@@ -403,53 +380,17 @@
     }
 
     fn check_transaction(&self) -> Result<OrganisationId, Failure> {
-        let organisation = self.organisation()?;
+        let organisation = self.credentials.organisation()?;
         let transaction = self.transaction.as_ref();
         if let Some(channel) = transaction.and_then(|t| t.channel.as_ref())
             && !channel
                 .access
-                .allows(&organisation, &self.regions(&organisation)?)
+                .allows(&organisation, &self.credentials.regions(&organisation)?)
         {
             return Err(failure(ErrorCode::Aborted, Cause::Access));
         }
         Ok(organisation)
     }
-
-    /// The regions in which statements for `organisation` may run now. Fails if the session's key no
-    /// longer belongs to it.
-    fn current_regions(&self, organisation: &OrganisationId) -> Result<RegionLimit, Failure> {
-        if self.organisation()? != *organisation {
-            return Err(failure(ErrorCode::Busy, Cause::Access));
-        }
-        self.regions(organisation)
-    }
-
-    /// The regions in which an organisation's statements may run.
-    fn regions(&self, organisation: &OrganisationId) -> Result<RegionLimit, Failure> {
-        let configuration = self.configuration()?;
-        let regions = configuration.regions.get(organisation);
-        Ok(regions.cloned().unwrap_or_default())
-    }
-
-    /// The organisation of the session's key in the current configuration.
-    fn organisation(&self) -> Result<OrganisationId, Failure> {
-        let configuration = self.configuration()?;
-        let anonymous = configuration
-            .routes
-            .get(&self.database)
-            .is_some_and(|r| r.anonymous);
-        if self.key.is_empty() && anonymous {
-            return Ok(ANONYMOUS.to_owned());
-        }
-        if !self.node.keys_trusted() {
-            return Err(failure(ErrorCode::Busy, Cause::Stale));
-        }
-        match configuration.keys.get(&self.key) {
-            Some(organisation) => Ok(organisation.clone()),
-            None if anonymous => Ok(ANONYMOUS.to_owned()),
-            None => Err(failure(ErrorCode::Unauthorized, Cause::Member)),
-        }
-    }
 }
 
 /// Sleeps for `time`; never returns if it is `Duration::MAX`.
