Encode names of routes in the labels of metrics

The name of a route was written into the label of its metrics as it is. A line feed, a quotation mark or a separator in it ended the value, and the rest was read as other labels or as another metric.

The characters that end a value in the exposed text or in the lines of cadence are percent-encoded.

Evidence: names_of_routes_stay_in_their_label failed before.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,9 @@
 use cadence::Histogrammed;
 use cadence::MetricSink;
 use cadence::StatsdClient;
+use percent_encoding::AsciiSet;
+use percent_encoding::CONTROLS;
+use percent_encoding::utf8_percent_encode;
 
 use crate::model::outcome::Failure;
 
@@ -19,6 +22,16 @@
 const MAX_SERIES: usize = 512;
 /// Larger latencies are recorded as this one.
 const MAX_LATENCY_MICROS: u64 = 60_000_000;
+/// Characters that end a label's value in the exposed text or in the lines of `cadence`.
+const ENCODED_IN_LABELS: &AsciiSet = &CONTROLS
+    .add(b'"')
+    .add(b'\\')
+    .add(b'{')
+    .add(b'}')
+    .add(b',')
+    .add(b'|')
+    .add(b'#')
+    .add(b'%');
 /// The exposed quantiles.
 const QUANTILES: [f64; 3] = [0.5, 0.9, 0.99];
 
@@ -132,7 +145,7 @@
     pub fn record_answered(&self, route: &str, took: Duration) {
         let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
         let metric = self.client.histogram_with_tags("statement_micros", micros);
-        metric.with_tag("route", route).send();
+        metric.with_tag("route", &label(route)).send();
     }
 
     /// Counts a statement that failed.
@@ -140,7 +153,13 @@
         let code = format!("{:?}", error.code);
         let cause = format!("{:?}", error.cause);
         let metric = self.client.count_with_tags("statement_failures", 1);
-        let metric = metric.with_tag("route", route).with_tag("code", &code);
+        let route = label(route);
+        let metric = metric.with_tag("route", &route).with_tag("code", &code);
         metric.with_tag("cause", &cause).send();
     }
 }
+
+/// Value of a label for a name that may hold any characters.
+fn label(name: &str) -> String {
+    utf8_percent_encode(name, ENCODED_IN_LABELS).to_string()
+}
--- /dev/null
+++ b/crates/gateway/tests/metrics.rs
@@ -0,0 +1,42 @@
+//! Tests of the text in which metrics are exposed.
+
+use std::time::Duration;
+
+use magnoliahatch_gateway::metrics::Metrics;
+use magnoliahatch_gateway::model::error_code::ErrorCode;
+use magnoliahatch_gateway::model::outcome::Cause;
+use magnoliahatch_gateway::model::outcome::failure;
+
+/// Guards against the name of a route that is read as another label, another value or another line.
+#[test]
+fn names_of_routes_stay_in_their_label() {
+    let names = [
+        ("main", "main"),
+        ("a\nb 7", "a%0Ab 7"),
+        ("a\r\nb", "a%0D%0Ab"),
+        ("a\"} 7", "a%22%7D 7"),
+        ("a,code:b", "a%2Ccode:b"),
+        ("a|c|#x:y", "a%7Cc%7C%23x:y"),
+        ("a\\", "a%5C"),
+        ("a%0Ab", "a%250Ab"),
+        ("ä:b", "%C3%A4:b"),
+    ];
+    for (name, label) in names {
+        let metrics = Metrics::open();
+        metrics.record_answered(name, Duration::from_micros(40));
+        metrics.count_failure(name, &failure(ErrorCode::Busy, Cause::Rate));
+        let text = metrics.registry().text();
+        let mut lines: Vec<&str> = text.split_inclusive('\n').collect();
+        lines.sort_unstable();
+        let expected = [
+            format!(
+                "magnoliahatch_statement_failures{{route=\"{label}\",code=\"Busy\",cause=\"Rate\"}} 1\n"
+            ),
+            format!("magnoliahatch_statement_micros_count{{route=\"{label}\"}} 1\n"),
+            format!("magnoliahatch_statement_micros{{route=\"{label}\",quantile=\"0.5\"}} 40\n"),
+            format!("magnoliahatch_statement_micros{{route=\"{label}\",quantile=\"0.9\"}} 40\n"),
+            format!("magnoliahatch_statement_micros{{route=\"{label}\",quantile=\"0.99\"}} 40\n"),
+        ];
+        assert_eq!(lines, expected, "{name:?}");
+    }
+}
