--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -49,6 +49,7 @@
 /// that has just received an answer is likely to send its next request at once, and closing
 /// immediately would fail that request.
 const STOP_IDLE_TIME: Duration = Duration::from_millis(300);
+
 /// Serves a client until the session ends.
 pub async fn run<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
     node.sessions.set(node.sessions.get() + 1);
