Check a key again on the host that sends the statement

Cause: the organisation was compared with the current configuration on the client's host only, before the statement entered the queues.

The check now stands where the line to the member is written (member/send_check.rs), for all callers. A channel carries what the session was opened with, and each statement the version of the configuration that allowed it; the sending host decides only if its own configuration is newer, so that a host that is behind refuses nothing that a newer one allows. Frames between hosts change: version 4.

--- a/crates/gateway/src/front/credentials.rs
+++ b/crates/gateway/src/front/credentials.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use magnoliahatch_core::ids::OrganisationId;
 
+use crate::model::configuration::ANONYMOUS;
 use crate::model::configuration::Configuration;
 use crate::model::error_code::ErrorCode;
+use crate::model::job::SessionKey;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
@@ -15,14 +17,10 @@
 use crate::node::Node;
 use crate::platform::Platform;
 
-/// Organisation of sessions without a valid key, on routes that allow anonymous access.
-pub const ANONYMOUS: &str = "-";
-
 /// What a session gives access to, by the current configuration at each call.
 pub struct Credentials<P: Platform> {
     node: Rc<Node<P>>,
-    pub database: String,
-    key: String,
+    pub session: SessionKey,
 }
 
 impl<P: Platform> Credentials<P> {
@@ -30,8 +28,10 @@
         let text = |b: &Bytes| String::from_utf8_lossy(b).into_owned();
         Self {
             node,
-            database: text(database),
-            key: text(key),
+            session: SessionKey {
+                database: text(database),
+                key: text(key),
+            },
         }
     }
 
@@ -49,19 +49,19 @@
 
     pub fn route(&self) -> Result<Route, Failure> {
         let configuration = self.configuration()?;
-        let route = configuration.routes.get(&self.database);
+        let route = configuration.routes.get(&self.session.database);
         route
             .cloned()
             .ok_or(failure(ErrorCode::NoDatabase, Cause::Member))
     }
 
-    /// The regions in which statements for `organisation` may run now. Fails if the session's key no
-    /// longer belongs to it.
-    pub fn current_regions(&self, organisation: &OrganisationId) -> Result<RegionLimit, Failure> {
+    /// The regions in which statements for `organisation` may run now, and the version of the
+    /// configuration that says so. Fails if the session's key no longer belongs to it.
+    pub fn authorise(&self, organisation: &OrganisationId) -> Result<(RegionLimit, u64), Failure> {
         if self.organisation()? != *organisation {
             return Err(failure(ErrorCode::Busy, Cause::Access));
         }
-        self.regions(organisation)
+        Ok((self.regions(organisation)?, self.version()))
     }
 
     /// The regions in which an organisation's statements may run.
@@ -74,20 +74,19 @@
     /// The organisation of the session's key in the current configuration.
     pub fn organisation(&self) -> Result<OrganisationId, Failure> {
         let configuration = self.configuration()?;
-        let anonymous = configuration
-            .routes
-            .get(&self.database)
-            .is_some_and(|r| r.anonymous);
-        if self.key.is_empty() && anonymous {
-            return Ok(ANONYMOUS.to_owned());
-        }
-        if !self.node.keys_trusted() {
+        let SessionKey { database, key } = &self.session;
+        let organisation = configuration.organisation(database, key);
+        let without_key = key.is_empty() && organisation == Some(ANONYMOUS);
+        if !without_key && !self.node.keys_trusted() {
             return Err(failure(ErrorCode::Busy, Cause::Stale));
         }
-        match configuration.keys.get(&self.key) {
-            Some(organisation) => Ok(organisation.clone()),
-            None if anonymous => Ok(ANONYMOUS.to_owned()),
-            None => Err(failure(ErrorCode::Unauthorized, Cause::Member)),
-        }
+        organisation
+            .map(str::to_owned)
+            .ok_or(failure(ErrorCode::Unauthorized, Cause::Member))
+    }
+
+    /// Version of the current configuration.
+    pub fn version(&self) -> u64 {
+        self.configuration().map_or(0, |c| c.version)
     }
 }
--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Consistency;
 use crate::model::job::Job;
+use crate::model::job::SessionKey;
 use crate::model::job::Target;
 use crate::model::outcome::Answer;
 use crate::model::outcome::Cause;
@@ -53,9 +54,10 @@
     pub last_commit: Option<LogPosition>,
     /// Regions in which the organisation's statements may run.
     pub regions: RegionLimit,
-    /// Reads the regions from the current configuration. Fails if the session's key no longer belongs
-    /// to the organisation.
-    pub read_regions: &'a dyn Fn() -> Result<RegionLimit, Failure>,
+    /// Reads the regions, and its version, from the current configuration. Fails if the session's key
+    /// no longer belongs to the organisation.
+    pub authorise: &'a dyn Fn() -> Result<(RegionLimit, u64), Failure>,
+    pub session: &'a SessionKey,
     pub job: Job,
 }
 
@@ -109,7 +111,7 @@
     let mut attempted = Attempts::default();
     loop {
         // The configuration may have changed while the statement waited.
-        statement.regions = (statement.read_regions)()?;
+        (statement.regions, statement.job.version) = (statement.authorise)()?;
         let (member, primary) = match choose_member(node, &statement, &attempted) {
             Some(choice) => choice,
             None => {
@@ -133,6 +135,7 @@
             service: statement.route.service.clone(),
             member: member.clone(),
             organisation: statement.organisation.clone(),
+            session: statement.session.clone(),
             consistency: statement.consistency(primary),
             priority: statement.route.priority,
             transaction: statement.transaction,
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -13,7 +13,6 @@
 use tokio_util::codec::Framed;
 
 use crate::clock;
-use crate::front::credentials::ANONYMOUS;
 use crate::front::credentials::Credentials;
 use crate::front::dispatch;
 use crate::front::dispatch::FirstStatement;
@@ -23,6 +22,7 @@
 use crate::front::messages::refuse;
 use crate::front::transaction::Transaction;
 use crate::member::channel_handle;
+use crate::model::configuration::ANONYMOUS;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Job;
 use crate::model::job::Values;
@@ -146,7 +146,7 @@
                         .await?
                 }
                 Request::Invalid(code) => {
-                    let database = &self.credentials.database;
+                    let database = &self.credentials.session.database;
                     tracing::info!(event = 647, database, ?code, "message of a client refused");
                     self.send_error(connection, code, None).await?;
                 }
@@ -172,7 +172,7 @@
                 }
                 connection.feed(Reply::Complete(Some(answer.proof))).await?;
                 self.node.metrics.record_answered(
-                    &self.credentials.database,
+                    &self.credentials.session.database,
                     clock::now().saturating_sub(started),
                 );
             }
@@ -194,8 +194,8 @@
         let (code, cause) = (error.code, error.cause);
         self.node
             .metrics
-            .count_failure(&self.credentials.database, error);
-        let database = &self.credentials.database;
+            .count_failure(&self.credentials.session.database, error);
+        let database = &self.credentials.session.database;
         tracing::info!(event = 661, %id, database, ?code, ?cause, waited, "statement failed");
     }
 
@@ -320,6 +320,7 @@
             id: id.clone(),
             work,
             values: self.values.clone(),
+            version: self.credentials.version(),
             timeout: route.timeout,
         };
         let answer = if has_channel {
@@ -330,7 +331,8 @@
             }
             let first = FirstStatement {
                 regions: self.credentials.regions(&organisation)?,
-                read_regions: &|| self.credentials.current_regions(&organisation),
+                authorise: &|| self.credentials.authorise(&organisation),
+                session: &self.credentials.session,
                 route: &route,
                 organisation: &organisation,
                 transaction: read_only,
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -15,6 +15,7 @@
 use crate::member::connection_error::ConnectionError;
 use crate::member::pool::Pool;
 use crate::member::pooled_connection::PooledConnection;
+use crate::member::send_check;
 use crate::model::command::Command;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Consistency;
@@ -264,6 +265,7 @@
         {
             return Err(failure(ErrorCode::Aborted, Cause::Primary));
         }
+        send_check::check(&self.node, &self.target, job)?;
         let command = self.command(job, prepared);
         let sent = clock::now();
         let result = self.send(command, until.saturating_sub(sent)).await;
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -9,4 +9,5 @@
 pub mod pool;
 pub mod pool_table;
 pub mod pooled_connection;
+pub mod send_check;
 pub mod slot;
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -22,7 +22,7 @@
 pub type ChannelId = u64;
 
 /// Version of these messages. Connections of hosts with another version are refused.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// The first message that each side of a connection sends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/model/configuration.rs
+++ b/crates/gateway/src/model/configuration.rs
@@ -11,6 +11,9 @@
 use crate::model::region_limit::RegionLimit;
 use crate::model::route::Route;
 
+/// Organisation of sessions without a valid key, on routes that allow anonymous access.
+pub const ANONYMOUS: &str = "-";
+
 /// Rate limit of an organisation, for all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Rate {
@@ -43,3 +46,13 @@
     /// A transaction that is idle for longer may be rolled back.
     pub idle: Duration,
 }
+
+impl Configuration {
+    /// The organisation for which sessions with a key run. `None` if the key gives no access to the
+    /// database.
+    pub fn organisation(&self, database: &str, key: &str) -> Option<&str> {
+        let route = self.routes.get(database);
+        let anonymous = route.is_some_and(|r| r.anonymous).then_some(ANONYMOUS);
+        self.keys.get(key).map(String::as_str).or(anonymous)
+    }
+}
--- a/crates/gateway/src/model/job.rs
+++ b/crates/gateway/src/model/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::OrganisationId;
+use magnoliahatch_core::ids::RouteId;
 use magnoliahatch_core::position::LogPosition;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,12 +28,21 @@
     },
 }
 
+/// What a client opened its session with. It decides for which organisation its statements may run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionKey {
+    pub database: RouteId,
+    /// Empty if the client sent none.
+    pub key: String,
+}
+
 /// On which member and for which organisation a channel runs its statements.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     pub service: String,
     pub member: MemberId,
     pub organisation: OrganisationId,
+    pub session: SessionKey,
     pub consistency: Consistency,
     /// 0 is the highest priority.
     pub priority: u32,
@@ -71,6 +81,8 @@
     pub id: Bytes,
     pub work: Work,
     pub values: Values,
+    /// Version of the configuration by which the client's host allowed the statement.
+    pub version: u64,
     /// Remaining time from sending the job until its answer.
     pub timeout: Duration,
 }
