End transactions in an evacuated data centre

Cause: only the first statement of a channel checked whether its member is leaving; the later ones, and statements that waited for a connection or a slot meanwhile, did not.

The check before a statement is sent now covers it. A draining member still runs the statements of open transactions; one in an evacuated data centre does not, and the client is told ABORTED (cause NoMember), which is true: the transaction is rolled back.

Evidence: transaction_ends_if_its_data_centre_is_evacuated waits in vain with the check taken out and passes with it.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -265,7 +265,7 @@
         {
             return Err(failure(ErrorCode::Aborted, Cause::Primary));
         }
-        send_check::check(&self.node, &self.target, job)?;
+        send_check::check(&self.node, &self.target, job, self.in_transaction)?;
         let command = self.command(job, prepared);
         let sent = clock::now();
         let result = self.send(command, until.saturating_sub(sent)).await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -243,12 +243,9 @@
         let now = clock::now();
         let view = self.view.borrow();
         let entry = view.member(member, now).ok_or_else(none)?;
-        if entry.draining || view.is_evacuated(&entry.data_centre) {
-            let mut leaving = self.leaving_members.borrow_mut();
-            let since = *leaving.entry(member.to_owned()).or_insert(now);
-            if now.saturating_sub(since) > LEAVING_PRIMARY_LIMIT {
-                return Err(none());
-            }
+        let evacuated = view.is_evacuated(&entry.data_centre);
+        if self.has_left(member, entry.draining || evacuated, now) {
+            return Err(none());
         }
         let endpoint = Endpoint {
             service: entry.service.clone(),
@@ -272,6 +269,17 @@
         Ok(pool)
     }
 
+    /// Whether a member has been leaving, that is draining or evacuated, for longer than it may be used.
+    pub fn has_left(&self, member: &str, leaving: bool, now: Duration) -> bool {
+        let mut members = self.leaving_members.borrow_mut();
+        if !leaving {
+            members.remove(member);
+            return false;
+        }
+        let since = *members.entry(member.to_owned()).or_insert(now);
+        now.saturating_sub(since) > LEAVING_PRIMARY_LIMIT
+    }
+
     /// Updates the connection limits of all pools, since this host may no longer be the home of
     /// some members.
     pub fn update_connection_limits(&self) {
