Grant the first tokens of a rate once in a rolling restart

Causes: at the first start each host filled a bucket with the whole burst of each organisation, also of those whose rate another host owns. A host that restarted left stopping hosts out when it asked others for their uptime, and took the silence of the rest for a restart of the whole system, so that it granted the first tokens again.

Now only the owner of a rate fills its bucket, at the first start once all hosts are registered. A starting host also asks hosts that are leaving, which answer with their age, and if more than half of those asked are silent it does not assume a restart of the whole system. A host whose registered process has ended does not count as silent: after a loss of power that is the case for all.

Evidence: silent_hosts_mean_no_restart_of_the_whole_system fails with the former rule.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::failover::primary_monitor;
 use crate::front::listener;
 use crate::log_limit;
+use crate::mesh::call_error::CallError;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
 use crate::mesh::server;
@@ -25,6 +26,7 @@
 use crate::platform::Platform;
 use crate::platform::Store;
 use crate::policy::restart;
+use crate::policy::restart::ProcessState;
 use crate::settings::Settings;
 use crate::shutdown_stage::ShutdownStage;
 use crate::start_error::StartError;
@@ -51,6 +53,9 @@
 /// this is taken for a restart of the whole fleet in 1 of 256 cases, which costs no more than a
 /// second restart of the fleet.
 const AGE_SAMPLE: usize = 8;
+/// Age at which a process fills the buckets that it owns at the first start of the whole system. All
+/// hosts are registered by then, so that each bucket is filled by one of them.
+const FIRST_FILL_AGE: Duration = Duration::from_secs(2);
 /// Time limit of these calls. Processes that are starting answer within some hundred ms.
 const AGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a stopping host checks for remaining sessions.
@@ -207,34 +212,36 @@
 /// Gives the organisations their first tokens after a start or restart of the whole system.
 async fn fill_quotas<P: Platform>(node: Rc<Node<P>>) {
     if node.settings.first_start {
-        node.quota.fill(&node);
+        tokio::time::sleep(FIRST_FILL_AGE.saturating_sub(node.age())).await;
+        node.quota.fill(&node, |rate| rate.burst);
         return;
     }
-    let mut others = node.registered_hosts();
+    let mut others = node.view.borrow().host_ids();
     others.retain(|h| *h != node.settings.host);
     others.shuffle(&mut rand::rng());
     let asked = others.iter().take(AGE_SAMPLE);
     let answers = asked.map(|host| node.mesh.call(host, Call::Ping, AGE_TIMEOUT));
     let answers = futures::future::join_all(answers).await;
-    let ages: Vec<Duration> = answers
+    let states: Vec<ProcessState> = answers
         .into_iter()
-        .filter_map(|answer| match answer {
-            Ok(Response::Alive { age }) => Some(age),
-            // A host that is still starting does not hand out tokens yet.
-            _ => None,
+        .map(|answer| match answer {
+            Ok(Response::Alive { age }) => ProcessState::Running(age),
+            // Another process answered, or none: it is starting and has granted nothing yet.
+            Err(CallError::Ended) => ProcessState::Ended,
+            _ => ProcessState::Silent,
         })
         .collect();
-    // If other hosts exist but none answers, this process may be cut off from a running system.
-    let alone = others.is_empty();
-    let whole = (alone || !ages.is_empty()) && restart::started_together(node.age(), &ages);
+    let whole = restart::started_together(node.age(), &states);
     tracing::info!(
         event = 685,
         whole,
-        answered = ages.len(),
+        asked = states.len(),
         "asked other hosts for their uptime"
     );
     if whole {
-        node.quota.fill_after_restart(&node);
+        let bounds = node.settings.bounds.rate;
+        node.quota
+            .fill(&node, |rate| restart::initial_tokens(rate, &bounds));
     }
 }
 
--- a/crates/gateway/src/policy/restart.rs
+++ b/crates/gateway/src/policy/restart.rs
@@ -11,9 +11,27 @@
 /// window.
 const EXCESS_FRACTION: f64 = 0.5;
 
-/// Returns whether this process and all others that reported their age were started together.
-pub fn started_together(own: Duration, others: &[Duration]) -> bool {
-    own < MAX_START_GAP && others.iter().all(|age| *age < MAX_START_GAP)
+/// What a starting process finds out about the process of another host.
+#[derive(Debug, Clone, Copy)]
+pub enum ProcessState {
+    /// It runs since this time.
+    Running(Duration),
+    /// The registered process has ended.
+    Ended,
+    /// It did not answer.
+    Silent,
+}
+
+/// Returns whether this process and all others were started together. If more than half of them are
+/// silent, this process may be cut off from a running system, or the others may be stopping.
+pub fn started_together(own: Duration, others: &[ProcessState]) -> bool {
+    let is_older = |state: &ProcessState| match state {
+        ProcessState::Running(age) => *age >= MAX_START_GAP,
+        ProcessState::Ended | ProcessState::Silent => false,
+    };
+    let silent = others.iter().filter(|s| matches!(s, ProcessState::Silent));
+    let known = silent.count() * 2 <= others.len();
+    own < MAX_START_GAP && known && !others.iter().any(is_older)
 }
 
 /// Number of operations that an organisation may run at once after a restart of the whole system.
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -13,11 +13,11 @@
 use crate::host_table::HostTable;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
+use crate::model::configuration::Rate;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::policy::quota::QuotaTable;
 use crate::policy::requesting_hosts::RequestingHosts;
-use crate::policy::restart;
 use crate::policy::token_demand::TokenDemand;
 
 /// Unused tokens are dropped after this time, so that they are not used long after the window in
@@ -44,20 +44,9 @@
 }
 
 impl QuotaTokens {
-    /// Fills the buckets at the first start of the whole system.
-    pub fn fill<P: Platform>(&self, node: &Node<P>) {
-        let Some(configuration) = node.configuration() else {
-            return;
-        };
-        let mut table = self.table.borrow_mut();
-        for (organisation, rate) in &configuration.rates {
-            table.fill(organisation, *rate, rate.burst, clock::now());
-        }
-    }
-
-    /// Gives the first tokens after a restart of the whole system to the organisations whose rates
-    /// this host owns.
-    pub fn fill_after_restart<P: Platform>(&self, node: &Node<P>) {
+    /// Gives tokens to the organisations whose rates this host owns, after a start or restart of the
+    /// whole system. If other hosts did so as well, each of them could grant the same tokens.
+    pub fn fill<P: Platform>(&self, node: &Node<P>, tokens: impl Fn(Rate) -> f64) {
         let Some(configuration) = node.configuration() else {
             return;
         };
@@ -65,10 +54,8 @@
         let own = node.settings.host.as_str();
         let mut table = self.table.borrow_mut();
         for (organisation, rate) in &configuration.rates {
-            let owner = rate_owner(organisation, &hosts);
-            if owner == Some(own) {
-                let tokens = restart::initial_tokens(*rate, &node.settings.bounds.rate);
-                table.fill(organisation, *rate, tokens, clock::now());
+            if rate_owner(organisation, &hosts) == Some(own) {
+                table.fill(organisation, *rate, tokens(*rate), clock::now());
             }
         }
     }
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -193,6 +193,11 @@
         view.is_some_and(|k| k.objects.contains_key(data_centre))
     }
 
+    /// Names of all registered hosts, also of those that are leaving.
+    pub fn host_ids(&self) -> Vec<HostId> {
+        self.hosts().into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
     pub fn hosts(&self) -> Vec<(&HostId, &HostEntry)> {
         let view = self.kinds.get(&ObjectKind::Hosts).into_iter();
         view.flat_map(|k| &k.objects)
--- a/crates/gateway/tests/restart.rs
+++ b/crates/gateway/tests/restart.rs
@@ -6,6 +6,9 @@
 use magnoliahatch_gateway::policy::bounds::RateBounds;
 use magnoliahatch_gateway::policy::quota::QuotaTable;
 use magnoliahatch_gateway::policy::restart;
+use magnoliahatch_gateway::policy::restart::ProcessState::Ended;
+use magnoliahatch_gateway::policy::restart::ProcessState::Running;
+use magnoliahatch_gateway::policy::restart::ProcessState::Silent;
 use proptest::proptest;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
@@ -26,15 +29,24 @@
 /// the whole system has restarted: the other processes have granted the rate until now.
 #[test]
 fn one_older_process_means_no_restart_of_the_whole_system() {
-    assert!(restart::started_together(
-        millis(60),
-        &[millis(300), millis(10)]
-    ));
-    assert!(!restart::started_together(
-        millis(60),
-        &[millis(300), millis(60_000)]
-    ));
+    let young = [Running(millis(300)), Running(millis(10))];
+    assert!(restart::started_together(millis(60), &young));
+    let old = [Running(millis(300)), Running(millis(60_000))];
+    assert!(!restart::started_together(millis(60), &old));
     assert!(!restart::started_together(millis(60_000), &[]));
+    assert!(restart::started_together(millis(60), &[]));
+}
+
+/// Hosts are stopped and started in turn: most are stopping or just gone when one starts. Guards
+/// against a host that takes their silence for a restart of the whole system and grants a second
+/// burst (review, QUOTA). A power loss, after which other processes run, is one.
+#[test]
+fn silent_hosts_mean_no_restart_of_the_whole_system() {
+    let rolling = [Silent, Silent, Running(millis(900))];
+    assert!(!restart::started_together(millis(60), &rolling));
+    assert!(!restart::started_together(millis(60), &[Silent]));
+    let power_loss = [Ended, Ended, Silent, Running(millis(90))];
+    assert!(restart::started_together(millis(60), &power_loss));
 }
 
 proptest! {
