Require the oldest sufficient position of reads that accept an age

Cause: of the primary's positions only the latest was kept. A read that accepts data of 1.5 s was made to wait for the position observed just before, which a lagging replica does not have yet.

The history of the last seconds is kept, 50 ms apart and bounded, and a read requires the lowest position that covers every commit acknowledged longer ago than the age it accepts. A new term clears the history.

--- a/crates/gateway/src/read_floors.rs
+++ b/crates/gateway/src/read_floors.rs
@@ -48,7 +48,8 @@
     ) -> Option<LogPosition> {
         // A position older than half of `age` is refreshed in the background, so that reads rarely
         // wait for it.
-        if let Some(position) = self.known(service, age / 2) {
+        let is_recent = self.known(service, age / 2).is_some();
+        if let Some(position) = self.known(service, age).filter(|_| is_recent) {
             return Some(position);
         }
         let mut query = self.query(node, service);
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -77,6 +77,52 @@
     assert_eq!(floor.covering(millis(100), millis(1300)), None);
 }
 
+/// Load: replicas that lag by 90 ms behind a primary with 20 commits a second, whose position is
+/// observed every 750 ms. Guards against reads that require the newest observed position although they
+/// accept data of 1.5 s: the replicas refused those that followed each observation.
+#[test]
+fn floor_is_one_that_lagging_replicas_have_applied() {
+    let log_index = |now: u64| now / 50;
+    let mut floor = ReadFloor::default();
+    let mut refused = 0;
+    for now in (0..30_000).step_by(10) {
+        if now % 750 == 0 {
+            floor.record(millis(now), position(1, log_index(now)));
+        }
+        let required = floor.covering(millis(1500), millis(now));
+        let applied = log_index(now.saturating_sub(90));
+        refused += u32::from(required.is_none_or(|p| p.index > applied));
+    }
+    // Only the first observation has no earlier one.
+    assert!(refused <= 9, "{refused} of 3000 reads were refused");
+}
+
+/// Guards against a position of an earlier term that members have rolled back.
+#[test]
+fn floor_forgets_an_earlier_term() {
+    let mut floor = ReadFloor::default();
+    floor.record(millis(1000), position(3, 40));
+    floor.record(millis(1200), position(4, 30));
+    let covering = floor.covering(millis(1000), millis(1300));
+    assert_eq!(covering, Some(position(4, 30)));
+}
+
+/// Guards against a history without bound at a busy primary, and against one in which a burst of
+/// answers evicts what reads need.
+#[test]
+fn floor_of_a_busy_primary_keeps_seconds_of_its_history() {
+    let mut floor = ReadFloor::default();
+    for now in 0..10_000 {
+        floor.record(millis(now), position(1, now));
+    }
+    let covered = floor.covering(millis(2500), millis(10_000));
+    let index = covered.map(|p| p.index);
+    assert!(
+        index.is_some_and(|i| (7500..7600).contains(&i)),
+        "{index:?}"
+    );
+}
+
 proptest! {
     #![proptest_config(fixed(200))]
 
