Report the usage of organisations by window

Where the settings ask for it (bounds.reportWindowS, and usage_report in the list of duties), the fleet now reports for each window how many statements of each organisation the members ran. Elsewhere nothing of it runs.

Hosts count what they send to members and send the counts to two aggregators; one of them holds the duty by a record in the store, writes each report to it before the call, and its successor repeats that report. The revision of the write is the token of the call.

Evidence: successor_repeats_the_report_that_its_holder_recorded (three gateways, the holder ends between its write and its call) passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,9 @@
 use crate::settings::Settings;
 use crate::shutdown_stage::ShutdownStage;
 use crate::start_error::StartError;
+use crate::usage::holder;
+use crate::usage::reference_clocks;
+use crate::usage::sender;
 use crate::view::follower;
 use crate::view::host_cleanup;
 use crate::view::registration;
@@ -91,6 +94,11 @@
         tokio::task::spawn_local(primary_monitor::run(node.clone()));
         tokio::task::spawn_local(update_readiness(node.clone(), ready.clone()));
         tokio::task::spawn_local(update_connection_limits(node.clone()));
+        if node.usage.is_some() {
+            tokio::task::spawn_local(sender::run(node.clone()));
+            tokio::task::spawn_local(reference_clocks::run(node.clone()));
+            tokio::task::spawn_local(holder::run(node.clone()));
+        }
         Ok(Self {
             node,
             ready,
@@ -146,6 +154,7 @@
             node.sessions.get() == 0 && node.running.get() == 0 && node.channels.get() == 0
         })
         .await;
+        sender::send_pending(&self.node).await;
         self.unregister().await;
         let left = (self.node.sessions.get(), self.node.channels.get());
         let lines = log_limit::dropped_lines();
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -270,6 +270,7 @@
         let sent = clock::now();
         let result = self.send(command, until.saturating_sub(sent)).await;
         drop(slot);
+        self.count_usage(&result, sent);
         let durable = job.work.writes()
             && (self.target.transaction.is_none() || matches!(job.work, Work::Commit));
         match result {
@@ -281,6 +282,20 @@
         }
     }
 
+    /// Counts a statement for its organisation's usage if the member ran it or may have.
+    fn count_usage(&self, result: &Result<Response, ConnectionError>, sent: Duration) {
+        let ran = match result {
+            Ok(response) => match &response.result {
+                Ok(_) => true,
+                Err((code, _)) => code.may_have_run(),
+            },
+            Err(error) => error.may_have_run(),
+        };
+        if ran && let Some(usage) = &self.node.usage {
+            usage.count(&self.target.organisation, sent);
+        }
+    }
+
     fn on_response(&mut self, response: Response, sent: Duration, durable: bool) -> Outcome {
         self.pool.on_answer();
         self.in_transaction = response.state != TransactionState::Idle;
--- a/crates/gateway/src/member/connection_error.rs
+++ b/crates/gateway/src/member/connection_error.rs
@@ -35,6 +35,11 @@
         matches!(self, Self::NotSent(_))
     }
 
+    /// Whether the member may have run the command.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotSent(_) | Self::Stale | Self::Refused(_))
+    }
+
     /// Whether the member did not answer, so that its other connections may be broken as well.
     pub fn is_silence(&self) -> bool {
         matches!(
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -15,6 +15,7 @@
 use crate::model::kind::ObjectKind;
 use crate::model::object::Object;
 use crate::model::outcome::Outcome;
+use crate::model::usage_message::UsageMessage;
 
 /// Identifies a call on its connection.
 pub type CallId = u64;
@@ -78,6 +79,10 @@
     PrimaryReachable {
         service: String,
     },
+    /// Brings counts of statements to an aggregator.
+    Usage(Box<UsageMessage>),
+    /// Requests the wall clock of the called host.
+    WallClock,
 }
 
 impl Call {
@@ -156,6 +161,17 @@
     Alive {
         age: Duration,
     },
+    /// The aggregator has the counts. Names its process, and the host that sends usage reports with
+    /// the revision of the record that says so.
+    Usage {
+        incarnation: Incarnation,
+        holder: Option<(Revision, HostId)>,
+    },
+    /// Wall clock of the host since the Unix epoch, and the time since its process started.
+    WallClock {
+        wall: Duration,
+        age: Duration,
+    },
 }
 
 /// A call or an answer, with the id of the call.
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::member::channel;
 use crate::member::channel_handle;
 use crate::member::channel_handle::ChannelHandle;
@@ -29,6 +30,7 @@
 use crate::node::QUIESCE_TIMEOUT;
 use crate::platform::Platform;
 use crate::socket;
+use crate::usage::receiver;
 use crate::wire_error::WireError;
 
 /// Answers that may wait to be written. The queue only fills if the peer does not read.
@@ -170,6 +172,11 @@
         Call::PrimaryReachable { service } => {
             Response::PrimaryReachable(control::can_reach_primary(node, &service).await)
         }
+        Call::Usage(message) => receiver::on_message(node, from, &message),
+        Call::WallClock => Response::WallClock {
+            wall: clock::wall(),
+            age: node.age(),
+        },
         Call::Ping | Call::Run { .. } | Call::End { .. } => Response::Done,
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cadence::Counted;
+use cadence::Gauged;
 use cadence::Histogrammed;
 use cadence::MetricSink;
 use cadence::StatsdClient;
@@ -39,6 +40,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     counters: Mutex<BTreeMap<String, u64>>,
+    gauges: Mutex<BTreeMap<String, u64>>,
     histograms: Mutex<BTreeMap<String, hdrhistogram::Histogram<u64>>>,
 }
 
@@ -51,6 +53,10 @@
             // Writing to a string cannot fail.
             let _ = writeln!(text, "{name} {value}");
         }
+        let gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, value) in gauges.iter() {
+            let _ = writeln!(text, "{name} {value}");
+        }
         let histograms = self
             .histograms
             .lock()
@@ -86,7 +92,13 @@
             .map(|(key, value)| format!("{key}=\"{value}\""))
             .collect();
         let series = format!("{}{{{}}}", name.replace('.', "_"), labels.join(","));
-        if kind == "h" {
+        if kind == "g" {
+            let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+            if gauges.len() >= MAX_SERIES && !gauges.contains_key(&series) {
+                return None;
+            }
+            gauges.insert(series, value);
+        } else if kind == "h" {
             let mut histograms = self
                 .histograms
                 .lock()
@@ -148,6 +160,19 @@
         metric.with_tag("route", &label(route)).send();
     }
 
+    /// Adds to a counter of the usage reports.
+    pub fn count_usage(&self, name: &str, count: u64) {
+        if count > 0 {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.client.count_with_tags(name, count).send();
+        }
+    }
+
+    /// Sets a value of the usage reports.
+    pub fn set_usage(&self, name: &str, value: u64) {
+        self.client.gauge_with_tags(name, value).send();
+    }
+
     /// Counts a statement that failed.
     pub fn count_failure(&self, route: &str, error: &Failure) {
         let code = format!("{:?}", error.code);
--- a/crates/gateway/src/model/error_code.rs
+++ b/crates/gateway/src/model/error_code.rs
@@ -37,6 +37,11 @@
 }
 
 impl ErrorCode {
+    /// Returns whether a member that answers with the code ran the statement or may have.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Failed | Self::Timeout | Self::Unknown)
+    }
+
     /// Returns whether the code guarantees that the statement did not run.
     pub fn not_run(self) -> bool {
         matches!(
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod command;
 pub mod configuration;
+pub mod duty_record;
 pub mod error_code;
 pub mod host_entry;
 pub mod job;
@@ -17,3 +18,6 @@
 pub mod route;
 pub mod statement;
 pub mod transaction_state;
+pub mod usage_batch;
+pub mod usage_message;
+pub mod usage_report;
--- a/crates/gateway/src/model/object.rs
+++ b/crates/gateway/src/model/object.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::model::configuration::Configuration;
+use crate::model::duty_record::DutyRecord;
 use crate::model::host_entry::HostEntry;
 use crate::model::member_entry::MemberEntry;
 use crate::model::primary_record::PrimaryRecord;
@@ -17,6 +18,7 @@
     Evacuation,
     Host(HostEntry),
     Primary(PrimaryRecord),
+    Duty(DutyRecord),
 }
 
 /// An object with the revision of its last change.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -37,6 +37,7 @@
 use crate::read_floors::ReadFloors;
 use crate::settings::Settings;
 use crate::shutdown_stage::ShutdownStage;
+use crate::usage::usage_state::UsageState;
 use crate::view::view_reports::ViewReports;
 use crate::view::view_state::ViewState;
 
@@ -74,6 +75,8 @@
     pub metrics: Metrics,
     pub loads: MemberLoads,
     pub floors: ReadFloors,
+    /// `None` if the deployment asks for no usage reports.
+    pub usage: Option<UsageState>,
     pub reports: ViewReports,
     pub admission: RefCell<StoreAdmission>,
     pub stage: watch::Sender<ShutdownStage>,
@@ -95,6 +98,9 @@
     pub fn new(settings: Settings, store: P::Store) -> Rc<Self> {
         let incarnation: Incarnation = rand::random();
         let host = settings.host.clone();
+        let usage = settings
+            .usage
+            .map(|usage| UsageState::new(host.clone(), incarnation, usage));
         Rc::new(Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -109,6 +115,7 @@
             metrics: Metrics::open(),
             loads: MemberLoads::default(),
             floors: ReadFloors::default(),
+            usage,
             reports: ViewReports::default(),
             admission: RefCell::default(),
             stage: watch::channel(ShutdownStage::default()).0,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -18,7 +18,9 @@
 use crate::model::object::Object;
 use crate::model::reply::Reply;
 use crate::model::request::Request;
+use crate::model::usage_report::UsageReport;
 use crate::promote_error::PromoteError;
+use crate::report_error::ReportError;
 use crate::store_error::StoreError;
 use crate::wire_error::WireError;
 
@@ -50,7 +52,16 @@
     pub fencing_token: Revision,
 }
 
-/// A client of the platform's store and of its promotion call.
+/// A call that brings a usage report to the platform.
+#[derive(Debug, Clone)]
+pub struct UsageCall {
+    pub report: UsageReport,
+    pub holder: HostId,
+    /// Increases each time that any host writes the record of the duty.
+    pub fencing_token: Revision,
+}
+
+/// A client of the platform's store and of its calls.
 pub trait Store: Clone + 'static {
     /// Lists all objects of a kind.
     fn list(&self, kind: ObjectKind) -> impl Future<Output = Result<Listing, StoreError>>;
@@ -95,4 +106,7 @@
 
     /// Requests a promotion.
     fn promote(&self, order: &PromotionOrder) -> impl Future<Output = Result<(), PromoteError>>;
+
+    /// Sends a usage report.
+    fn report_usage(&self, call: &UsageCall) -> impl Future<Output = Result<(), ReportError>>;
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use magnoliahatch_core::ids::HostId;
 
 use crate::policy::bounds::Bounds;
+use crate::policy::usage_settings::UsageSettings;
 
 /// Settings of one gateway process.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,6 +29,8 @@
     /// Whether the whole system starts for the first time, as opposed to a restart.
     pub first_start: bool,
     pub bounds: Bounds,
+    /// `None` if the deployment asks for no usage reports.
+    pub usage: Option<UsageSettings>,
 }
 
 impl Settings {
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -264,7 +264,7 @@
                 }
                 self.update_processes(now);
             }
-            ObjectKind::Evacuations | ObjectKind::Primaries => {}
+            ObjectKind::Evacuations | ObjectKind::Primaries | ObjectKind::Duties => {}
         }
     }
 
