Keep the token of a usage report while an earlier call may run

A call without an answer can be executed until its time limit ends. The next write gave the following call a higher token, so the platform could see the tokens decrease. The holder now writes again only once the earlier call is over, and a successor waits at least that long.

Counts are sent every 250 ms, since a killed host takes those of one interval with it, and to each aggregator independently.

It also fails with a takeover after 0.5 s, with a takeover that drops the report in progress, and with calls after an old write.

--- a/crates/gateway/src/policy/sender_clock.rs
+++ b/crates/gateway/src/policy/sender_clock.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Number of messages from which the shortest delay is taken. A host sends one every 500 ms, so a
-/// process that is suspended for several seconds still has an earlier one.
+/// Number of messages from which the shortest delay is taken. A host sends one every 250 ms, so
+/// there is one from before a suspension of this process for up to 4 s.
 const MAX_SAMPLES: usize = 16;
 
 /// Converts times of a sender's monotonic clock. The message with the shortest delay determines the
--- a/crates/gateway/src/policy/usage_counts.rs
+++ b/crates/gateway/src/policy/usage_counts.rs
@@ -87,11 +87,12 @@
         lost
     }
 
-    /// Batches that an aggregator has not acknowledged, oldest first.
-    pub fn pending(&self, aggregator: &Aggregator) -> Vec<UsageBatch> {
+    /// The oldest batches that an aggregator has not acknowledged, at most `count`.
+    pub fn pending(&self, aggregator: &Aggregator, count: usize) -> Vec<UsageBatch> {
         let batches = self.batches.iter();
         let pending = batches.filter(|kept| !kept.acknowledged.contains(aggregator));
-        pending.map(|kept| kept.batch.clone()).collect()
+        let oldest = pending.take(count);
+        oldest.map(|kept| kept.batch.clone()).collect()
     }
 
     pub fn on_acknowledged(&mut self, aggregator: &Aggregator, numbers: &BTreeSet<BatchNumber>) {
--- a/crates/gateway/src/policy/usage_duty.rs
+++ b/crates/gateway/src/policy/usage_duty.rs
@@ -19,8 +19,11 @@
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// A holder sends a call only within this time after its last write was sent.
 const WRITE_LIFETIME: Duration = Duration::from_secs(1);
-/// Added to the lease before another host takes over: the lifetime of a holder's last write.
-const TAKEOVER_MARGIN: Duration = WRITE_LIFETIME;
+/// Time limit of a call. Until then one without an answer may still be executed.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// The first aggregator creates a missing record after this time. At a start of the whole system the
+/// list of hosts is complete by then, so that one of the large ones holds the duty.
+const CREATE_DELAY: Duration = Duration::from_secs(2);
 /// Pause after the first failure of a call or a write. It doubles with each further one.
 const MIN_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after a failure.
@@ -64,6 +67,15 @@
     Unclear,
 }
 
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    Accepted,
+    Refused,
+    /// The call may be executed later.
+    Unknown,
+}
+
 /// The record as this host read or wrote it.
 #[derive(Debug, Clone)]
 struct Known {
@@ -88,6 +100,9 @@
     written: Option<Duration>,
     /// The window whose report was accepted from this process.
     accepted: Option<WindowIndex>,
+    /// When the last call without an answer can no longer be executed. Until then the token does not
+    /// change, since that call must not follow one with a higher token.
+    call_end: Duration,
     /// Time before which nothing is written or sent.
     pause_end: Duration,
     failures: u32,
@@ -103,6 +118,7 @@
             unclear: false,
             written: None,
             accepted: None,
+            call_end: Duration::ZERO,
             pause_end: Duration::ZERO,
             failures: 0,
         }
@@ -162,9 +178,14 @@
         record: &DutyRecord,
         next_report: impl FnOnce(Option<WindowIndex>) -> Option<UsageReport>,
     ) -> DutyStep {
-        let write = |record| DutyStep::Write {
-            expected: Some(revision),
-            record,
+        let write = |record| {
+            if now < self.call_end {
+                return DutyStep::Wait;
+            }
+            DutyStep::Write {
+                expected: Some(revision),
+                record,
+            }
         };
         let unsent = record.sending.as_ref();
         let unsent = unsent.filter(|report| self.accepted != Some(report.window));
@@ -211,11 +232,12 @@
             // The first aggregator creates the record.
             None => situation.rank == Some(0),
         };
-        let mut required = self.settings.lease + TAKEOVER_MARGIN;
+        // The holder's last call begins within `WRITE_LIFETIME` after its last write.
+        let mut required = self.settings.lease.max(CALL_TIMEOUT) + WRITE_LIFETIME;
         if !ended {
             required += self.settings.window;
         } else if stored.is_none() {
-            required = Duration::ZERO;
+            required = CREATE_DELAY;
         }
         if unchanged < required {
             return DutyStep::Wait;
@@ -269,7 +291,6 @@
                     read: now,
                 });
                 self.written = Some(sent);
-                self.failures = 0;
             }
             WriteOutcome::Refused => self.pause(now),
             WriteOutcome::Unclear => {
@@ -281,14 +302,25 @@
         }
     }
 
-    /// Records whether a report was accepted.
-    pub fn on_call(&mut self, window: WindowIndex, accepted: bool, now: Duration) {
-        if accepted {
-            self.accepted = Some(window);
-            self.failures = 0;
-            self.pause_end = now + self.settings.call_interval;
-        } else {
-            self.pause(now);
+    /// Records the outcome of a call that was sent at `sent`.
+    pub fn on_call(
+        &mut self,
+        window: WindowIndex,
+        outcome: CallOutcome,
+        sent: Duration,
+        now: Duration,
+    ) {
+        match outcome {
+            CallOutcome::Accepted => {
+                self.accepted = Some(window);
+                self.failures = 0;
+                self.pause_end = now + self.settings.call_interval;
+            }
+            CallOutcome::Refused => self.pause(now),
+            CallOutcome::Unknown => {
+                self.call_end = sent + CALL_TIMEOUT;
+                self.pause(now);
+            }
         }
     }
 
--- a/crates/gateway/src/policy/usage_windows.rs
+++ b/crates/gateway/src/policy/usage_windows.rs
@@ -18,7 +18,7 @@
 /// Number of windows whose counts are kept.
 const MAX_WINDOWS: u64 = 64;
 /// Time after the end of a window at which it is reported. A statement counts once it is answered,
-/// and a batch is sent every 500 ms and again if its call failed.
+/// and a batch is sent every 250 ms and again if its call failed.
 const CLOSE_DELAY: Duration = Duration::from_secs(3);
 /// A sender whose last message is older than this is forgotten. It must be longer than batches are
 /// sent again.
@@ -27,7 +27,7 @@
 /// do not reach it at once.
 const LEARNING_TIME: Duration = Duration::from_secs(5);
 
-/// Numbers of batches that are kept of each sender. It has at most 61 that it may send again.
+/// Numbers of batches that are kept of each sender. It has at most 121 that it may send again.
 const MAX_NUMBERS: usize = 256;
 
 #[derive(Debug, Default)]
--- a/crates/gateway/src/usage/holder.rs
+++ b/crates/gateway/src/usage/holder.rs
@@ -16,6 +16,8 @@
 use crate::platform::Platform;
 use crate::platform::Store;
 use crate::platform::UsageCall;
+use crate::policy::usage_duty;
+use crate::policy::usage_duty::CallOutcome;
 use crate::policy::usage_duty::DutySituation;
 use crate::policy::usage_duty::DutyStep;
 use crate::policy::usage_duty::WriteOutcome;
@@ -27,8 +29,6 @@
 
 /// Interval of the steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Time limit of the call that brings a report.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// A host that was no aggregator and got no counts for this long forgets its windows. It must be
 /// shorter than senders keep batches, since they send them again to a host that becomes one.
 const WINDOWS_LIFETIME: Duration = Duration::from_secs(20);
@@ -191,19 +191,24 @@
         if self.last_sent.replace(Some(window)) == Some(window) {
             metrics.count_usage("usage_repeated_calls", 1);
         }
+        let sent = clock::now();
         let answer = tokio::select! {
             // After the process was suspended, the call must not begin any more.
             biased;
-            () = tokio::time::sleep(CALL_TIMEOUT) => {
+            () = tokio::time::sleep(usage_duty::CALL_TIMEOUT) => {
                 Err(ReportError::Unknown("no answer in time".to_owned()))
             }
             answer = self.node.store.report_usage(&call) => answer,
         };
         let now = clock::now();
-        self.usage
-            .duty
-            .borrow_mut()
-            .on_call(window, answer.is_ok(), now);
+        let outcome = match &answer {
+            Ok(()) => CallOutcome::Accepted,
+            Err(ReportError::Refused(_)) => CallOutcome::Refused,
+            Err(ReportError::Unknown(_)) => CallOutcome::Unknown,
+        };
+        let mut duty = self.usage.duty.borrow_mut();
+        duty.on_call(window, outcome, sent, now);
+        drop(duty);
         match answer {
             Ok(()) => self.on_accepted(window, now),
             Err(error) => {
--- a/crates/gateway/src/usage/sender.rs
+++ b/crates/gateway/src/usage/sender.rs
@@ -1,5 +1,7 @@
 //! Sends this host's counts to the aggregators.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,27 +16,47 @@
 use crate::policy::usage_counts::Aggregator;
 use crate::usage::receiver;
 use crate::usage::usage_state;
-use crate::usage::usage_state::UsageState;
 
-/// Interval at which counts are sent.
-const SEND_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which counts are sent. A host that is killed takes the counts of one interval with it,
+/// which is 5 % of a window of 5 s.
+const SEND_INTERVAL: Duration = Duration::from_millis(250);
 /// Time limit of a call. Short, since the counts are sent again.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Number of batches in one message. An aggregator that is new gets those of the last 30 s in three
 /// messages.
-const MAX_BATCHES: usize = 20;
+const MAX_BATCHES: usize = 40;
 
 /// Sends counts until the process ends.
 pub async fn run<P: Platform>(node: Rc<Node<P>>) {
+    let busy: Rc<RefCell<BTreeSet<HostId>>> = Rc::default();
     loop {
         tokio::time::sleep(SEND_INTERVAL).await;
-        send_pending(&node).await;
+        // An aggregator that does not answer must not delay the messages to the other one.
+        for host in cut_batches(&node) {
+            if !busy.borrow_mut().insert(host.clone()) {
+                continue;
+            }
+            let (node, busy) = (node.clone(), busy.clone());
+            tokio::task::spawn_local(async move {
+                send_to(&node, &host).await;
+                busy.borrow_mut().remove(&host);
+            });
+        }
     }
 }
 
 /// Sends the counts that the aggregators do not have yet.
 pub async fn send_pending<P: Platform>(node: &Rc<Node<P>>) {
-    let Some(usage) = &node.usage else { return };
+    let receivers = cut_batches(node);
+    let calls = receivers.iter().map(|host| send_to(node, host));
+    futures::future::join_all(calls).await;
+}
+
+/// Makes a batch of the latest counts. Returns the hosts that get the batches.
+fn cut_batches<P: Platform>(node: &Rc<Node<P>>) -> Vec<HostId> {
+    let Some(usage) = &node.usage else {
+        return Vec::new();
+    };
     let lost = usage.counts.borrow_mut().cut(clock::now());
     if lost > 0 {
         node.metrics.count_usage("usage_lost_statements", lost);
@@ -46,24 +68,23 @@
     {
         receivers.push(holder.clone());
     }
-    let calls = receivers.into_iter().map(|host| send_to(node, usage, host));
-    futures::future::join_all(calls).await;
+    receivers
 }
 
 /// Sends one aggregator what it has not acknowledged.
-async fn send_to<P: Platform>(node: &Rc<Node<P>>, usage: &UsageState, host: HostId) {
+async fn send_to<P: Platform>(node: &Rc<Node<P>>, host: &str) {
+    let Some(usage) = &node.usage else { return };
     let own = host == node.settings.host;
     let incarnation = if own {
         Some(node.incarnation)
     } else {
-        node.view.borrow().host(&host).map(|h| h.incarnation)
+        node.view.borrow().host(host).map(|h| h.incarnation)
     };
     let Some(incarnation) = incarnation else {
         return;
     };
-    let aggregator: Aggregator = (host, incarnation);
-    let mut batches = usage.counts.borrow().pending(&aggregator);
-    batches.truncate(MAX_BATCHES);
+    let aggregator: Aggregator = (host.to_owned(), incarnation);
+    let batches = usage.counts.borrow().pending(&aggregator, MAX_BATCHES);
     if batches.is_empty() {
         return;
     }
@@ -76,7 +97,6 @@
         wall: clock::wall(),
         batches,
     };
-    let host = &aggregator.0;
     let answer = if own {
         Ok(receiver::on_message(node, host, &message))
     } else {
--- /dev/null
+++ b/crates/gateway/tests/usage_duty/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the duty of sending usage reports.
+
+mod fleet;
+mod interleavings;
+mod platform;
+mod steps;
