Count operations, not statements, for the reports of usage

The users' bench compares the reports with operations: a transaction counts once, as it does for rates.

The event of an accepted report also names the total.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -108,6 +108,8 @@
     done: bool,
     /// How long the last statement waited for the rate limit of a cold member and for a slot.
     queued: Duration,
+    /// Whether this channel's operation has been counted as used.
+    counted: bool,
 }
 
 impl<P: Platform> Channel<P> {
@@ -136,6 +138,7 @@
             in_transaction: false,
             done: false,
             queued: Duration::ZERO,
+            counted: false,
         };
         if let Some(read_only) = channel.target.transaction {
             channel.begin(job, read_only).await?;
@@ -282,8 +285,9 @@
         }
     }
 
-    /// Counts a statement for its organisation's usage if the member ran it or may have.
-    fn count_usage(&self, result: &Result<Response, ConnectionError>, sent: Duration) {
+    /// Counts an operation for its organisation's usage with its first statement that the member ran
+    /// or may have run. Rates count operations as well.
+    fn count_usage(&mut self, result: &Result<Response, ConnectionError>, sent: Duration) {
         let ran = match result {
             Ok(response) => match &response.result {
                 Ok(_) => true,
@@ -291,7 +295,10 @@
             },
             Err(error) => error.may_have_run(),
         };
-        if ran && let Some(usage) = &self.node.usage {
+        if ran
+            && let Some(usage) = &self.node.usage
+            && !std::mem::replace(&mut self.counted, true)
+        {
             usage.count(&self.target.organisation, sent);
         }
     }
--- a/crates/gateway/src/usage/holder.rs
+++ b/crates/gateway/src/usage/holder.rs
@@ -182,6 +182,7 @@
 
     async fn send(&self, report: UsageReport, token: Revision) {
         let window = report.window;
+        let total: u64 = report.counts.values().sum();
         let call = UsageCall {
             report,
             holder: self.node.settings.host.clone(),
@@ -210,14 +211,14 @@
         duty.on_call(window, outcome, sent, now);
         drop(duty);
         match answer {
-            Ok(()) => self.on_accepted(window, now),
+            Ok(()) => self.on_accepted(window, total, now),
             Err(error) => {
                 tracing::warn!(event = 704, window, token, %error, "usage report not accepted");
             }
         }
     }
 
-    fn on_accepted(&self, window: WindowIndex, now: Duration) {
+    fn on_accepted(&self, window: WindowIndex, total: u64, now: Duration) {
         let lead = self.usage.clocks.borrow_mut().lead(now);
         let windows = self.usage.windows.borrow();
         let (Some(lead), Some(windows)) = (lead, windows.as_ref()) else {
@@ -229,7 +230,14 @@
         metrics.set_usage("usage_last_window", window);
         metrics.set_usage("usage_lateness_ms", late_ms);
         let overdue = late > self.usage.settings.due;
-        tracing::info!(event = 701, window, late_ms, overdue, "usage reported");
+        tracing::info!(
+            event = 701,
+            window,
+            total,
+            late_ms,
+            overdue,
+            "usage reported"
+        );
     }
 
     /// Makes the holder known to those that ask, and logs a change of this host's part.
