Grant an organisation's rate by the priority of its routes

What: where the configuration has a route of priority 0, the owner of a rate leaves tokens to operations of higher priorities while the demand exceeds the rate. Call::Tokens carries, for each priority, the operations that arrived and the tokens wanted. Hosts keep unused tokens by priority; a higher one may use those of a lower one. Metrics rate_granted and rate_refused by priority, events 730 and 731.

Why: tokens went to operations in order of arrival, so an organisation at eight times its rate had its most urgent operations refused as often as the others. Configurations without a route of priority 0 take the earlier code path (QuotaTable::take, TokenDemand::batch).

--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -22,7 +22,6 @@
 use crate::front::messages::refuse;
 use crate::front::transaction::Transaction;
 use crate::member::channel_handle;
-use crate::model::configuration::ANONYMOUS;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Job;
 use crate::model::job::Values;
@@ -326,7 +325,8 @@
         let answer = if has_channel {
             self.run_in_transaction(job).await?
         } else {
-            if organisation != ANONYMOUS && !self.node.quota.take(&self.node, &organisation).await {
+            let quota = &self.node.quota;
+            if !quota.take(&self.node, &organisation, route.priority).await {
                 return Err(failure(ErrorCode::Busy, Cause::Rate));
             }
             let first = FirstStatement {
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -15,6 +15,7 @@
 use crate::model::kind::ObjectKind;
 use crate::model::object::Object;
 use crate::model::outcome::Outcome;
+use crate::model::token_request::TokenRequest;
 
 /// Identifies a call on its connection.
 pub type CallId = u64;
@@ -50,7 +51,7 @@
     /// Requests tokens of an organisation's rate limit.
     Tokens {
         organisation: OrganisationId,
-        count: u32,
+        requests: Vec<TokenRequest>,
     },
     /// Requests a recent position of a service's primary.
     ReadFloor {
@@ -141,7 +142,8 @@
 pub enum Response {
     Done,
     Outcome(Outcome),
-    Tokens(u32),
+    /// Tokens granted for each request of the call.
+    Tokens(Vec<u32>),
     ReadFloor(Option<(Duration, LogPosition)>),
     View {
         /// How long the answer was delayed to wait for a change.
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -138,8 +138,8 @@
     match call {
         Call::Tokens {
             organisation,
-            count,
-        } => Response::Tokens(node.quota.grant(node, from, &organisation, count)),
+            requests,
+        } => Response::Tokens(node.quota.grant(node, from, &organisation, &requests)),
         Call::ReadFloor { service } => {
             Response::ReadFloor(node.floors.observe(node, &service).await)
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -148,6 +148,17 @@
         metric.with_tag("route", &label(route)).send();
     }
 
+    /// Counts an operation that asked for a token of its organisation's rate.
+    pub fn count_rate(&self, priority: u32, granted: bool) {
+        let name = if granted {
+            "rate_granted"
+        } else {
+            "rate_refused"
+        };
+        let metric = self.client.count_with_tags(name, 1);
+        metric.with_tag("priority", &priority.to_string()).send();
+    }
+
     /// Counts a statement that failed.
     pub fn count_failure(&self, route: &str, error: &Failure) {
         let code = format!("{:?}", error.code);
--- a/crates/gateway/src/model/configuration.rs
+++ b/crates/gateway/src/model/configuration.rs
@@ -48,6 +48,11 @@
 }
 
 impl Configuration {
+    /// Whether organisations' rates are granted by priority: only where a route has the highest one.
+    pub fn ranks_operations(&self) -> bool {
+        self.routes.values().any(|route| route.priority == 0)
+    }
+
     /// The organisation for which sessions with a key run. `None` if the key gives no access to the
     /// database.
     pub fn organisation(&self, database: &str, key: &str) -> Option<&str> {
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -16,4 +16,5 @@
 pub mod request;
 pub mod route;
 pub mod statement;
+pub mod token_request;
 pub mod transaction_state;
--- a/crates/gateway/src/policy/quota.rs
+++ b/crates/gateway/src/policy/quota.rs
@@ -5,20 +5,22 @@
 
 use magnoliahatch_core::amount::Amount;
 use magnoliahatch_core::ids::OrganisationId;
-use magnoliahatch_core::token_bucket::TokenBucket;
 
 use crate::model::configuration::Rate;
+use crate::model::token_request::TokenRequest;
+use crate::policy::reserved_bucket::ReservedBucket;
 
 /// Buckets of the organisations that this host owns, and of those whose owner it cannot reach, from
 /// which it takes its own share.
 #[derive(Debug, Default)]
 pub struct QuotaTable {
-    buckets: BTreeMap<OrganisationId, TokenBucket>,
+    buckets: BTreeMap<OrganisationId, ReservedBucket>,
 }
 
 impl QuotaTable {
     /// Takes up to `count` tokens of an organisation, of whose rate this host may use the fraction
-    /// `share`. A new bucket starts empty, since the previous owner may just have spent the burst.
+    /// `share`, without regard to priorities. A new bucket starts empty, since the previous owner may
+    /// just have spent the burst.
     pub fn take(
         &mut self,
         organisation: &str,
@@ -27,24 +29,44 @@
         count: u32,
         now: Duration,
     ) -> u32 {
-        let bucket = self
-            .buckets
-            .entry(organisation.to_owned())
-            .or_insert_with(|| TokenBucket::empty(now));
-        let amount = Amount::new(rate.per_second * share, (rate.burst * share).max(1.0));
-        bucket.resize(amount, now);
-        (0..count).take_while(|_| bucket.take(now)).count() as u32
+        let bucket = self.bucket(organisation, now);
+        bucket.take(amount(rate, share), count, now)
+    }
+
+    /// Like `take`, for requests of several priorities. Requests of lower priorities leave tokens to
+    /// higher ones while the demand exceeds the rate. Returns the tokens of each request.
+    pub fn grant(
+        &mut self,
+        organisation: &str,
+        rate: Rate,
+        share: f64,
+        requests: &[TokenRequest],
+        now: Duration,
+    ) -> Vec<u32> {
+        let bucket = self.bucket(organisation, now);
+        bucket.grant(amount(rate, share), requests, now)
+    }
+
+    /// Whether an organisation's lowest priority left tokens to higher ones at the last grant.
+    pub fn is_reserving(&self, organisation: &str) -> bool {
+        let bucket = self.buckets.get(organisation);
+        bucket.is_some_and(ReservedBucket::is_reserving)
     }
 
     /// Adds tokens to an organisation's bucket, up to its burst.
     pub fn fill(&mut self, organisation: &str, rate: Rate, tokens: f64, now: Duration) {
-        let known = self
-            .buckets
-            .get(organisation)
-            .map_or(0.0, TokenBucket::tokens);
-        let tokens = known + tokens;
-        let bucket =
-            TokenBucket::with_tokens(Amount::new(rate.per_second, rate.burst), tokens, now);
-        self.buckets.insert(organisation.to_owned(), bucket);
+        let bucket = self.bucket(organisation, now);
+        let tokens = bucket.tokens() + tokens;
+        bucket.set_tokens(Amount::new(rate.per_second, rate.burst), tokens, now);
     }
+
+    fn bucket(&mut self, organisation: &str, now: Duration) -> &mut ReservedBucket {
+        self.buckets
+            .entry(organisation.to_owned())
+            .or_insert_with(|| ReservedBucket::empty(now))
+    }
+}
+
+fn amount(rate: Rate, share: f64) -> Amount {
+    Amount::new(rate.per_second * share, (rate.burst * share).max(1.0))
 }
--- a/crates/gateway/src/policy/token_demand.rs
+++ b/crates/gateway/src/policy/token_demand.rs
@@ -8,7 +8,7 @@
 /// Weight of the newest interval in the moving average.
 const SMOOTHING: f64 = 0.3;
 /// Most tokens requested at once.
-const MAX_BATCH: f64 = 8.0;
+pub const MAX_BATCH: u32 = 8;
 /// Fraction of the lifetime of a token in which all tokens of a batch should be used.
 const USE_FRACTION: f64 = 0.5;
 
@@ -37,6 +37,16 @@
             return 1;
         };
         let expected = lifetime.as_secs_f64() * USE_FRACTION / interval.max(1e-6);
-        (1.0 + expected).min(MAX_BATCH) as u32
+        (1.0 + expected).min(f64::from(MAX_BATCH)) as u32
+    }
+
+    /// Number of operations expected while a token that is granted now is valid. Operations that have
+    /// stopped arriving are expected less and less often.
+    pub fn expected(&self, lifetime: Duration, now: Duration) -> u32 {
+        let (Some(interval), Some(last)) = (self.interval, self.last) else {
+            return 0;
+        };
+        let interval = interval.max(now.saturating_sub(last).as_secs_f64());
+        (lifetime.as_secs_f64() * USE_FRACTION / interval.max(1e-6)) as u32
     }
 }
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -13,8 +13,12 @@
 use crate::host_table::HostTable;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
+use crate::model::configuration::ANONYMOUS;
+use crate::model::token_request::TokenRequest;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::policy::held_tokens::HeldTokens;
+use crate::policy::host_demand::HostDemand;
 use crate::policy::quota::QuotaTable;
 use crate::policy::requesting_hosts::RequestingHosts;
 use crate::policy::restart;
@@ -38,9 +42,12 @@
 #[derive(Debug, Default)]
 pub struct QuotaTokens {
     table: RefCell<QuotaTable>,
-    unused: RefCell<BTreeMap<OrganisationId, (u32, Duration)>>,
+    held: RefCell<BTreeMap<OrganisationId, HeldTokens>>,
     callers: RefCell<BTreeMap<OrganisationId, RequestingHosts>>,
+    /// Operations of organisations whose rates are granted in order of arrival.
     demands: RefCell<BTreeMap<OrganisationId, TokenDemand>>,
+    /// Operations of organisations whose rates are granted by priority.
+    ranked_demands: RefCell<BTreeMap<OrganisationId, HostDemand>>,
 }
 
 impl QuotaTokens {
@@ -74,14 +81,14 @@
     }
 
     /// Grants tokens to a host. The shares of hosts that no longer call are kept back, since a host
-    /// that is cut off uses its own share.
+    /// that is cut off uses its own share. Returns the tokens of each request.
     pub fn grant<P: Platform>(
         &self,
         node: &Node<P>,
         from: &str,
         organisation: &str,
-        count: u32,
-    ) -> u32 {
+        requests: &[TokenRequest],
+    ) -> Vec<u32> {
         let now = clock::now();
         let all = node.hosts().count;
         let share = {
@@ -90,26 +97,57 @@
             callers.record(from, now);
             callers.share(all, now)
         };
-        self.take_local(node, organisation, share, count)
+        self.take_local(node, organisation, share, requests)
     }
 
-    /// Takes one token for an operation. Returns whether there was one. A host that has just started
-    /// tries for a short time to reach the owner of the rate, which may be starting as well.
-    pub async fn take<P: Platform>(&self, node: &Rc<Node<P>>, organisation: &str) -> bool {
-        let batch = {
-            let mut demands = self.demands.borrow_mut();
-            let demand = demands.entry(organisation.to_owned()).or_default();
-            demand.record(clock::now());
-            demand.batch(TOKEN_LIFETIME)
-        };
-        if self.take_unused(organisation) {
+    /// Takes one token for an operation on a route of this priority. Returns whether there was one;
+    /// anonymous operations need none.
+    /// A host that has just started tries for a short time to reach the owner of the rate, which may
+    /// be starting as well.
+    pub async fn take<P: Platform>(
+        &self,
+        node: &Rc<Node<P>>,
+        organisation: &str,
+        priority: u32,
+    ) -> bool {
+        if organisation == ANONYMOUS {
+            return true;
+        }
+        let ranked = node.configuration().is_some_and(|c| c.ranks_operations());
+        // Without ranks all operations are of one class.
+        let class = if ranked { priority } else { 0 };
+        let granted = self.take_class(node, organisation, class, ranked).await;
+        node.metrics.count_rate(priority, granted);
+        granted
+    }
+
+    async fn take_class<P: Platform>(
+        &self,
+        node: &Rc<Node<P>>,
+        organisation: &str,
+        class: u32,
+        ranked: bool,
+    ) -> bool {
+        let batch = self.record(organisation, class, ranked);
+        if self.take_held(organisation, class) {
             return true;
         }
         let starting = node.age() < START_TIME;
         let deadline = clock::now() + OWNER_WAIT;
         loop {
-            match self.request(node, organisation, batch).await {
-                Some(granted) => return granted > 0,
+            let requests = if ranked {
+                self.ranked_requests(organisation, class)
+            } else {
+                vec![request(class, batch)]
+            };
+            let granted = self.request(node, organisation, class, &requests).await;
+            if ranked {
+                let mut demands = self.ranked_demands.borrow_mut();
+                let demand = demands.entry(organisation.to_owned()).or_default();
+                demand.on_answer(&requests);
+            }
+            match granted {
+                Some(granted) => return granted,
                 None if !starting => return false,
                 None if clock::now() + OWNER_RETRY_PAUSE >= deadline => return false,
                 None => tokio::time::sleep(OWNER_RETRY_PAUSE).await,
@@ -117,14 +155,38 @@
         }
     }
 
-    /// Requests tokens and uses one of them. Returns how many were granted, or `None` if the owner
-    /// of the rate cannot be reached and this host's own part is used up.
+    /// Records an operation. Returns how many tokens to request if ranks do not apply.
+    fn record(&self, organisation: &str, class: u32, ranked: bool) -> u32 {
+        let now = clock::now();
+        if ranked {
+            let mut demands = self.ranked_demands.borrow_mut();
+            let demand = demands.entry(organisation.to_owned()).or_default();
+            demand.record(class, now);
+            return 1;
+        }
+        let mut demands = self.demands.borrow_mut();
+        let demand = demands.entry(organisation.to_owned()).or_default();
+        demand.record(now);
+        demand.batch(TOKEN_LIFETIME)
+    }
+
+    fn ranked_requests(&self, organisation: &str, class: u32) -> Vec<TokenRequest> {
+        let mut demands = self.ranked_demands.borrow_mut();
+        let mut held = self.held.borrow_mut();
+        let demand = demands.entry(organisation.to_owned()).or_default();
+        let held = held.entry(organisation.to_owned()).or_default();
+        demand.requests(class, held, TOKEN_LIFETIME, clock::now())
+    }
+
+    /// Requests tokens and uses one of those for `class`. Returns whether there was one, or `None`
+    /// if the owner of the rate cannot be reached and this host's own part is used up.
     async fn request<P: Platform>(
         &self,
         node: &Rc<Node<P>>,
         organisation: &str,
-        count: u32,
-    ) -> Option<u32> {
+        class: u32,
+        requests: &[TokenRequest],
+    ) -> Option<bool> {
         // All hosts must choose the same owner, so hosts that cannot be reached count as well.
         let hosts = node.hosts();
         let owner = rate_owner(organisation, &hosts);
@@ -133,39 +195,54 @@
                 let call = Call::Tokens {
                     organisation: organisation.to_owned(),
                     // Those left over serve the next operations without a call.
-                    count,
+                    requests: requests.to_vec(),
                 };
                 match node.mesh.call(owner, call, CALL_TIMEOUT).await {
                     Ok(Response::Tokens(granted)) => granted,
                     answer => {
                         tracing::debug!(event = 640, owner, ?answer, "rate owner did not answer");
                         let part = 1.0 / f64::from(hosts.count);
-                        let granted = self.take_local(node, organisation, part, 1);
-                        return (granted > 0).then_some(granted);
+                        let requests = only_one(requests, class);
+                        let granted = self.take_local(node, organisation, part, &requests);
+                        return granted.iter().any(|count| *count > 0).then_some(true);
                     }
                 }
             }
-            _ => self.grant(node, &node.settings.host, organisation, 1),
+            _ => {
+                let requests = only_one(requests, class);
+                self.grant(node, &node.settings.host, organisation, &requests)
+            }
         };
-        if granted > 1 {
-            let entry = (granted - 1, clock::now());
-            self.unused
-                .borrow_mut()
-                .insert(organisation.to_owned(), entry);
-        }
-        Some(granted)
+        Some(self.hold(organisation, class, requests, &granted))
     }
 
-    fn take_unused(&self, organisation: &str) -> bool {
-        let mut unused = self.unused.borrow_mut();
-        let Some((count, at)) = unused.get_mut(organisation) else {
-            return false;
-        };
-        if *count == 0 || clock::now().saturating_sub(*at) > TOKEN_LIFETIME {
-            return false;
+    /// Keeps granted tokens, except one that is used for `class`. Returns whether there was one.
+    fn hold(
+        &self,
+        organisation: &str,
+        class: u32,
+        requests: &[TokenRequest],
+        granted: &[u32],
+    ) -> bool {
+        let now = clock::now();
+        let mut used = false;
+        let mut held = self.held.borrow_mut();
+        let held = held.entry(organisation.to_owned()).or_default();
+        for (request, count) in requests.iter().zip(granted) {
+            let own = request.priority == class && *count > 0;
+            used |= own;
+            let left = count - u32::from(own);
+            if left > 0 {
+                held.put(request.priority, left, now);
+            }
         }
-        *count -= 1;
-        true
+        used
+    }
+
+    fn take_held(&self, organisation: &str, class: u32) -> bool {
+        let mut held = self.held.borrow_mut();
+        let held = held.get_mut(organisation);
+        held.is_some_and(|held| held.take(class, TOKEN_LIFETIME, clock::now()))
     }
 
     fn take_local<P: Platform>(
@@ -173,16 +250,56 @@
         node: &Node<P>,
         organisation: &str,
         share: f64,
-        count: u32,
-    ) -> u32 {
-        let configuration = node.configuration();
-        let rate = configuration.and_then(|c| c.rates.get(organisation).copied());
-        let Some(rate) = rate else { return 0 };
+        requests: &[TokenRequest],
+    ) -> Vec<u32> {
+        let Some(configuration) = node.configuration() else {
+            return Vec::new();
+        };
+        let Some(rate) = configuration.rates.get(organisation).copied() else {
+            return Vec::new();
+        };
+        let now = clock::now();
         let mut table = self.table.borrow_mut();
-        table.take(organisation, rate, share, count, clock::now())
+        if !configuration.ranks_operations() {
+            let take = |r: &TokenRequest| table.take(organisation, rate, share, r.wanted, now);
+            return requests.iter().map(take).collect();
+        }
+        let before = table.is_reserving(organisation);
+        let granted = table.grant(organisation, rate, share, requests, now);
+        match (before, table.is_reserving(organisation)) {
+            (false, true) => {
+                tracing::info!(event = 730, organisation, "rate is granted by priority");
+            }
+            (true, false) => {
+                tracing::info!(
+                    event = 731,
+                    organisation,
+                    "rate is granted in order of arrival"
+                );
+            }
+            _ => {}
+        }
+        granted
     }
 }
 
+fn request(class: u32, wanted: u32) -> TokenRequest {
+    TokenRequest {
+        priority: class,
+        arrived: 0,
+        wanted,
+    }
+}
+
+/// The same requests with one token for `class`, as for tokens that this host takes itself.
+fn only_one(requests: &[TokenRequest], class: u32) -> Vec<TokenRequest> {
+    let one = |request: &TokenRequest| TokenRequest {
+        wanted: u32::from(request.priority == class),
+        ..*request
+    };
+    requests.iter().map(one).collect()
+}
+
 /// The host that shares out an organisation's rate.
 fn rate_owner<'a>(organisation: &str, hosts: &'a HostTable) -> Option<&'a str> {
     rendezvous::owner(
