Limit the gateway's retries by a budget for each organisation and member

Free are the first retry of a statement that did not run, unless the member refused it as Busy; retries during a change of primary; retries after Lagging; and reads repeated since their frame was too large.

Why: each statement could be tried six times, so a failing member or a burst got several times its load.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -37,6 +37,7 @@
 use crate::policy::replica_choice;
 use crate::policy::replica_choice::Distance;
 use crate::policy::replica_choice::ReadCandidate;
+use crate::policy::retry_budgets;
 
 /// Delay before the view is checked again for a primary that is being replaced.
 const PRIMARY_RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -98,6 +99,8 @@
     /// Whether only this host's own connections may be used, since the statement or its answer is too
     /// large for a frame between hosts.
     direct: bool,
+    /// The last failure, if the next attempt is charged to the budget for retries.
+    charged: Option<Failure>,
 }
 
 /// Runs the first statement of an operation. If it succeeds and begins a transaction, the returned
@@ -131,6 +134,7 @@
             }
             return Err(failure(ErrorCode::Busy, Cause::Peer));
         };
+        charge_retry(node, &statement, &mut attempted, &member)?;
         let target = Target {
             service: statement.route.service.clone(),
             member: member.clone(),
@@ -150,6 +154,9 @@
         attempted.count += 1;
         match outcome {
             Ok(answer) => {
+                node.retries
+                    .borrow_mut()
+                    .on_success(&member, statement.organisation);
                 let (id, attempts) = (request_id(&statement.job.id), attempted.count);
                 if logs::sampled(&statement.job.id) {
                     tracing::info!(event = 644, %id, member, host, attempts, "member answered");
@@ -172,6 +179,9 @@
                 if !retry || clock::now() >= deadline {
                     return Err(error);
                 }
+                if !retry_budgets::is_free(&error, attempted.count) {
+                    attempted.charged = Some(error.clone());
+                }
                 let (id, code, cause) = (request_id(&statement.job.id), error.code, error.cause);
                 tracing::info!(event = 643, %id, member, host, ?code, ?cause, "tried elsewhere");
                 if error.cause == Cause::Primary {
@@ -182,6 +192,27 @@
     }
 }
 
+/// Charges the next attempt to the budget for retries, unless it is free. Fails with the last failure
+/// if the budget is exhausted.
+fn charge_retry<P: Platform>(
+    node: &Rc<Node<P>>,
+    statement: &FirstStatement<'_>,
+    attempted: &mut Attempts,
+    member: &str,
+) -> Result<(), Failure> {
+    let Some(error) = attempted.charged.take() else {
+        return Ok(());
+    };
+    let organisation = statement.organisation;
+    let mut budgets = node.retries.borrow_mut();
+    if budgets.on_retry(member, organisation, clock::now()) {
+        return Ok(());
+    }
+    let (id, code, cause) = (request_id(&statement.job.id), error.code, error.cause);
+    tracing::info!(event = 732, %id, member, organisation, ?code, ?cause, "not retried: budget exhausted");
+    Err(error)
+}
+
 /// Whether a statement may be forwarded to a host. The host that the client is connected to is
 /// always allowed.
 fn may_forward<P: Platform>(
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::platform::Platform;
 use crate::policy::bounds::Bounds;
 use crate::policy::homes;
+use crate::policy::retry_budgets::RetryBudgets;
 use crate::policy::store_admission::StoreAdmission;
 use crate::primary_use::PrimaryUse;
 use crate::primary_use::PrimaryUseGuard;
@@ -73,6 +74,7 @@
     pub quota: QuotaTokens,
     pub metrics: Metrics,
     pub loads: MemberLoads,
+    pub retries: RefCell<RetryBudgets>,
     pub floors: ReadFloors,
     pub reports: ViewReports,
     pub admission: RefCell<StoreAdmission>,
@@ -108,6 +110,7 @@
             quota: QuotaTokens::default(),
             metrics: Metrics::open(),
             loads: MemberLoads::default(),
+            retries: RefCell::default(),
             floors: ReadFloors::default(),
             reports: ViewReports::default(),
             admission: RefCell::default(),
