--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -15,6 +15,7 @@
 use crate::model::kind::ObjectKind;
 use crate::model::object::Object;
 use crate::model::outcome::Outcome;
+use crate::model::token_request::TokenRequest;
 use crate::model::usage_message::UsageMessage;
 
 /// Identifies a call on its connection.
@@ -51,7 +52,7 @@
     /// Requests tokens of an organisation's rate limit.
     Tokens {
         organisation: OrganisationId,
-        count: u32,
+        requests: Vec<TokenRequest>,
     },
     /// Requests a recent position of a service's primary.
     ReadFloor {
@@ -146,7 +147,8 @@
 pub enum Response {
     Done,
     Outcome(Outcome),
-    Tokens(u32),
+    /// Tokens granted for each request of the call.
+    Tokens(Vec<u32>),
     ReadFloor(Option<(Duration, LogPosition)>),
     View {
         /// How long the answer was delayed to wait for a change.
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -17,6 +17,7 @@
 pub mod request;
 pub mod route;
 pub mod statement;
+pub mod token_request;
 pub mod transaction_state;
 pub mod usage_batch;
 pub mod usage_message;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::platform::Platform;
 use crate::policy::bounds::Bounds;
 use crate::policy::homes;
+use crate::policy::retry_budgets::RetryBudgets;
 use crate::policy::store_admission::StoreAdmission;
 use crate::primary_use::PrimaryUse;
 use crate::primary_use::PrimaryUseGuard;
@@ -74,6 +75,7 @@
     pub quota: QuotaTokens,
     pub metrics: Metrics,
     pub loads: MemberLoads,
+    pub retries: RefCell<RetryBudgets>,
     pub floors: ReadFloors,
     /// `None` if the deployment asks for no usage reports.
     pub usage: Option<UsageState>,
@@ -114,6 +116,7 @@
             quota: QuotaTokens::default(),
             metrics: Metrics::open(),
             loads: MemberLoads::default(),
+            retries: RefCell::default(),
             floors: ReadFloors::default(),
             usage,
             reports: ViewReports::default(),
