--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -31,6 +31,7 @@
 use crate::model::transaction_state::TransactionState;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::policy::admission_request::Request;
 
 /// Time limit for rolling back a transaction, which needs no slot.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -248,14 +249,16 @@
         let start = clock::now();
         let until = start + job.timeout;
         let prepared = self.prepare(job).await?;
-        // An open transaction holds a connection, so its statements get the highest priority.
-        let priority = if self.in_transaction {
-            0
-        } else {
-            self.target.priority + 1
-        };
         self.pool.wait_for_rate(!self.in_transaction, until).await?;
-        let slot = self.pool.slot(priority, until).await?;
+        let request = Request {
+            organisation: self.target.organisation.clone(),
+            weight: 1.0,
+            priority: self.target.priority,
+            kind: job.work.kind(),
+            deadline: until,
+            in_transaction: self.in_transaction,
+        };
+        let slot = self.pool.slot(request).await?;
         self.queued = clock::now().saturating_sub(start);
         let primary = matches!(self.target.consistency, Consistency::Primary);
         if primary
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -21,10 +21,12 @@
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
+use crate::model::statement_kind::StatementKind;
 use crate::platform::Platform;
 use crate::policy::admission::AdmissionDecision;
 use crate::policy::admission::AdmissionQueue;
 use crate::policy::admission::Ticket;
+use crate::policy::admission_request::Request;
 use crate::policy::cold_start::ColdStartLimiter;
 use crate::policy::cold_start::SendDecision;
 use crate::policy::connection_plan::ConnectionLimits;
@@ -276,12 +278,13 @@
         }
     }
 
-    /// Takes a slot for one statement, waiting until `until` at the latest.
-    pub async fn slot(self: &Rc<Self>, priority: u32, until: Duration) -> Result<Slot<P>, Failure> {
+    /// Takes a slot for one statement, waiting until its deadline at the latest.
+    pub async fn slot(self: &Rc<Self>, request: Request) -> Result<Slot<P>, Failure> {
         let now = clock::now();
-        let entry = self.admission.borrow_mut().request(priority, until, now);
+        let (kind, until) = (request.kind, request.deadline);
+        let entry = self.admission.borrow_mut().request(request, now);
         let ticket = match entry {
-            AdmissionDecision::Granted => return Ok(Slot::new(self.clone())),
+            AdmissionDecision::Granted => return Ok(Slot::new(self.clone(), kind)),
             AdmissionDecision::Refused(_) => return Err(failure(ErrorCode::Busy, Cause::Queue)),
             AdmissionDecision::Waiting(ticket) => ticket,
         };
@@ -289,18 +292,24 @@
         self.slot_waiters.borrow_mut().insert(ticket, sender);
         let waited = tokio::time::timeout(until.saturating_sub(now), receiver).await;
         if let Ok(Ok(())) = waited {
-            return Ok(Slot::new(self.clone()));
+            return Ok(Slot::new(self.clone(), kind));
         }
         // The slot was granted just as the wait timed out: pass it on to the next waiter.
         if self.slot_waiters.borrow_mut().remove(&ticket).is_none() {
-            drop(Slot::new(self.clone()));
+            drop(Slot::new(self.clone(), kind));
         }
         self.admission.borrow_mut().cancel(ticket);
         Err(failure(ErrorCode::Busy, Cause::Queue))
     }
 
-    pub(super) fn on_slot_free(&self, used: Duration) {
-        self.admission.borrow_mut().release(used);
+    /// Sets how many statements may run at the member at once.
+    pub fn set_capacity(&self, capacity: u32) {
+        self.admission.borrow_mut().set_capacity(capacity);
+        self.admit_waiting();
+    }
+
+    pub(super) fn on_slot_free(&self, kind: StatementKind, used: Duration) {
+        self.admission.borrow_mut().release(kind, used);
         self.admit_waiting();
     }
 
@@ -329,7 +338,9 @@
             let waiter = self.slot_waiters.borrow_mut().remove(&ticket);
             let delivered = waiter.is_some_and(|w| w.send(()).is_ok());
             if !delivered {
-                self.admission.borrow_mut().release(Duration::ZERO);
+                self.admission
+                    .borrow_mut()
+                    .release(StatementKind::Read, Duration::ZERO);
             }
         }
     }
--- a/crates/gateway/src/model/job.rs
+++ b/crates/gateway/src/model/job.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::model::statement::Access;
+use crate::model::statement_kind::StatementKind;
 
 /// Settings of a session, sorted by name.
 pub type Values = Vec<(Bytes, Bytes)>;
@@ -72,6 +73,14 @@
             Self::Read(_) => false,
         }
     }
+
+    pub fn kind(&self) -> StatementKind {
+        match self {
+            Self::Commit => StatementKind::Commit,
+            _ if self.writes() => StatementKind::Write,
+            _ => StatementKind::Read,
+        }
+    }
 }
 
 /// A statement with the session settings that its connection must have before it runs.
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -16,4 +16,5 @@
 pub mod request;
 pub mod route;
 pub mod statement;
+pub mod statement_kind;
 pub mod transaction_state;
--- a/crates/gateway/src/policy/admission.rs
+++ b/crates/gateway/src/policy/admission.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::model::statement_kind::StatementKind;
+use crate::policy::admission_request::Request;
+
 /// Maximum number of waiting statements at one member. Beyond this a new statement is refused at
 /// once, since it could not be served within any client's time limit.
 const QUEUE_LIMIT: usize = 256;
@@ -45,9 +48,16 @@
         }
     }
 
-    /// Requests a slot before the deadline `until`. Statements of an open transaction use priority
-    /// 0, since the transaction holds a connection while it waits.
-    pub fn request(&mut self, priority: u32, until: Duration, now: Duration) -> AdmissionDecision {
+    /// Sets how many statements may run at once. If it grows, call `grant_next` afterwards.
+    pub fn set_capacity(&mut self, capacity: u32) {
+        self.capacity = capacity.max(1);
+    }
+
+    /// Requests a slot. A statement of an open transaction goes first, since the transaction holds
+    /// a connection while it waits.
+    pub fn request(&mut self, request: Request, now: Duration) -> AdmissionDecision {
+        let priority = request.class();
+        let until = request.deadline;
         if self.running < self.capacity && self.waiting.is_empty() {
             self.running += 1;
             return AdmissionDecision::Granted;
@@ -61,8 +71,8 @@
         AdmissionDecision::Waiting(self.last_ticket)
     }
 
-    /// Releases a slot that a statement held for `used`.
-    pub fn release(&mut self, used: Duration) {
+    /// Releases a slot that a statement of this kind held for `used`.
+    pub fn release(&mut self, _kind: StatementKind, used: Duration) {
         self.running = self.running.saturating_sub(1);
         self.service_time += SMOOTHING * (used.as_secs_f64() - self.service_time);
     }
@@ -85,6 +95,13 @@
         None
     }
 
+    /// Removes and returns the waiting statements whose deadline can no longer be met.
+    pub fn expired(&mut self, now: Duration) -> Vec<Ticket> {
+        let past = |until: &Duration| *until <= now;
+        let expired = self.waiting.extract_if(.., |_, until| past(until));
+        expired.map(|((_, ticket), _)| ticket).collect()
+    }
+
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod access;
 pub mod admission;
+pub mod admission_request;
 pub mod backoff;
 pub mod bounds;
 pub mod cold_start;
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -4,8 +4,10 @@
 
 use magnoliahatch_core::position::LogPosition;
 use magnoliahatch_gateway::model::configuration::Rate;
+use magnoliahatch_gateway::model::statement_kind::StatementKind;
 use magnoliahatch_gateway::policy::admission::AdmissionDecision;
 use magnoliahatch_gateway::policy::admission::AdmissionQueue;
+use magnoliahatch_gateway::policy::admission_request::Request;
 use magnoliahatch_gateway::policy::bounds::Bounds;
 use magnoliahatch_gateway::policy::bounds::RateBounds;
 use magnoliahatch_gateway::policy::failover_trigger::FailoverReason;
@@ -77,6 +79,18 @@
     assert_eq!(floor.covering(millis(100), millis(1300)), None);
 }
 
+/// A read outside any transaction, of the priority of its route.
+fn statement(priority: u32, deadline: Duration) -> Request {
+    Request {
+        organisation: "org".to_owned(),
+        weight: 1.0,
+        priority,
+        kind: StatementKind::Read,
+        deadline,
+        in_transaction: false,
+    }
+}
+
 proptest! {
     #![proptest_config(fixed(200))]
 
@@ -109,14 +123,14 @@
         for (kind, priority) in steps {
             now += millis(3);
             match kind {
-                0 => match admission.request(priority, now + millis(60), now) {
+                0 => match admission.request(statement(priority, now + millis(60)), now) {
                     AdmissionDecision::Granted => running += 1,
                     AdmissionDecision::Waiting(ticket) => waiting.push(ticket),
                     AdmissionDecision::Refused(_) => {}
                 },
                 1 if running > 0 => {
                     running -= 1;
-                    admission.release(millis(5));
+                    admission.release(StatementKind::Read, millis(5));
                 }
                 _ => {
                     if let Some(ticket) = waiting.pop() {
@@ -132,13 +146,13 @@
         }
         // Once all statements have ended, all slots must be free again.
         for _ in 0..running {
-            admission.release(millis(5));
+            admission.release(StatementKind::Read, millis(5));
         }
         for ticket in waiting {
             admission.cancel(ticket);
         }
         for _ in 0..4 {
-            assert_eq!(admission.request(0, now + millis(60), now), AdmissionDecision::Granted);
+            assert_eq!(admission.request(statement(0, now + millis(60)), now), AdmissionDecision::Granted);
         }
     }
 }
@@ -150,13 +164,13 @@
     let mut admission = AdmissionQueue::new(1);
     let limit = millis(100);
     assert_eq!(
-        admission.request(2, limit, millis(0)),
+        admission.request(statement(2, limit), millis(0)),
         AdmissionDecision::Granted
     );
     let mut refused = 0;
     for _ in 0..30 {
         if matches!(
-            admission.request(2, limit, millis(0)),
+            admission.request(statement(2, limit), millis(0)),
             AdmissionDecision::Refused(_)
         ) {
             refused += 1;
@@ -167,7 +181,7 @@
         "{refused} of 30 refused at 10 ms per statement"
     );
     assert!(matches!(
-        admission.request(1, limit, millis(0)),
+        admission.request(statement(1, limit), millis(0)),
         AdmissionDecision::Waiting(_)
     ));
 }
@@ -179,15 +193,16 @@
     let mut admission = AdmissionQueue::new(1);
     let until = millis(1000);
     assert_eq!(
-        admission.request(2, until, millis(0)),
+        admission.request(statement(2, until), millis(0)),
         AdmissionDecision::Granted
     );
-    let low = admission.request(3, until, millis(0));
-    let AdmissionDecision::Waiting(urgent) = admission.request(0, until, millis(1)) else {
+    let low = admission.request(statement(3, until), millis(0));
+    let AdmissionDecision::Waiting(urgent) = admission.request(statement(0, until), millis(1))
+    else {
         panic!("a slot is in use");
     };
     assert!(matches!(low, AdmissionDecision::Waiting(_)));
-    admission.release(millis(5));
+    admission.release(StatementKind::Read, millis(5));
     assert_eq!(admission.grant_next(millis(6)), Some(urgent));
 }
 
