Wake callers that wait for a connection in fair order

What: callers that wait for a connection are woken by class, organisation and deadline. The organisation of the returned connection may be at most four connections ahead of the others. Why: within a priority a caller of the organisation of the returned connection always went first, so an organisation with a long queue kept all connections of a member.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -96,6 +96,26 @@
     drop(primary_guard);
 }
 
+/// What a job's place in a queue of the member depends on.
+fn request<P: Platform>(
+    node: &Node<P>,
+    target: &Target,
+    job: &Job,
+    deadline: Duration,
+    in_transaction: bool,
+) -> Request {
+    let organisation = target.organisation.clone();
+    let configuration = node.configuration();
+    Request {
+        weight: configuration.map_or(1.0, |c| c.weight(&organisation)),
+        organisation,
+        priority: target.priority,
+        kind: job.work.kind(),
+        deadline,
+        in_transaction,
+    }
+}
+
 struct Channel<P: Platform> {
     node: Rc<Node<P>>,
     pool: Rc<Pool<P>>,
@@ -126,7 +146,7 @@
             }
         };
         let connection = pool
-            .connection(&target.organisation, target.priority, until)
+            .connection(request(&node, &target, job, until, false))
             .await?;
         let mut channel = Self {
             node,
@@ -250,7 +270,7 @@
         let until = start + job.timeout;
         let prepared = self.prepare(job).await?;
         self.pool.wait_for_rate(!self.in_transaction, until).await?;
-        let request = self.slot_request(job, until);
+        let request = request(&self.node, &self.target, job, until, self.in_transaction);
         let slot = self.pool.slot(request, &self.node.metrics).await?;
         self.queued = clock::now().saturating_sub(start);
         let primary = matches!(self.target.consistency, Consistency::Primary);
@@ -282,20 +302,6 @@
         }
     }
 
-    fn slot_request(&self, job: &Job, deadline: Duration) -> Request {
-        let organisation = &self.target.organisation;
-        let configuration = self.node.configuration();
-        let weight = configuration.map_or(1.0, |c| c.weight(organisation));
-        Request {
-            organisation: organisation.clone(),
-            weight,
-            priority: self.target.priority,
-            kind: job.work.kind(),
-            deadline,
-            in_transaction: self.in_transaction,
-        }
-    }
-
     fn on_response(&mut self, response: Response, sent: Duration, durable: bool) -> Outcome {
         self.pool.on_answer();
         self.in_transaction = response.state != TransactionState::Idle;
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -4,6 +4,7 @@
 pub mod channel_handle;
 pub mod connection;
 pub mod connection_error;
+pub mod connection_queue;
 pub mod control;
 pub mod drop_guard;
 pub mod pool;
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -2,18 +2,16 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::MemberId;
-use magnoliahatch_core::ids::OrganisationId;
-use tokio::sync::oneshot;
 
 use crate::clock;
 use crate::member::connection::Connection;
 use crate::member::connection_error::ConnectionError;
+use crate::member::connection_queue::ConnectionQueue;
 use crate::member::drop_guard::on_drop;
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::slot::Slot;
@@ -23,6 +21,7 @@
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
+use crate::model::statement_kind::StatementKind;
 use crate::platform::Platform;
 use crate::policy::admission_request::Request;
 use crate::policy::cold_start::ColdStartLimiter;
@@ -46,8 +45,6 @@
 /// Connections that were idle for longer are closed instead of reused, since the network path may
 /// have failed unnoticed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// A caller that waits for a connection checks the pool again after this time at the latest.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Organisation of connections that are opened for the proxy's own commands.
 const COMMAND_ORGANISATION: &str = "-";
 
@@ -60,10 +57,6 @@
     pub slots: u32,
 }
 
-/// Callers that wait for a connection, in order of priority and arrival, each with its
-/// organisation.
-type ConnectionWaiters = BTreeMap<(u32, u64), (OrganisationId, oneshot::Sender<()>)>;
-
 /// Connections of this host to one member.
 pub struct Pool<P: Platform> {
     pub endpoint: Endpoint,
@@ -74,8 +67,7 @@
     /// Number of connections that are being opened; `total` includes them.
     opening: Cell<u32>,
     limits: Cell<ConnectionLimits>,
-    connection_waiters: RefCell<ConnectionWaiters>,
-    next_waiter: Cell<u64>,
+    waiters: ConnectionQueue,
     slots: Rc<SlotQueue>,
     /// Connections of an older generation are closed when they are returned.
     generation: Cell<u64>,
@@ -97,8 +89,7 @@
             total: Cell::new(0),
             opening: Cell::new(0),
             limits: Cell::new(ConnectionLimits::new(1, 1)),
-            connection_waiters: RefCell::default(),
-            next_waiter: Cell::new(0),
+            waiters: ConnectionQueue::default(),
             slots,
             generation: Cell::new(0),
             last_failure: Cell::new(None),
@@ -197,16 +188,15 @@
         self.wake_next();
     }
 
-    /// Takes a connection for an organisation, waiting until `until` at the latest.
+    /// Takes a connection for an organisation, waiting until the deadline at the latest.
     pub async fn connection(
         self: &Rc<Self>,
-        organisation: &str,
-        priority: u32,
-        until: Duration,
+        request: Request,
     ) -> Result<PooledConnection<P>, Failure> {
+        let organisation = &request.organisation;
         let choose =
             |idle: &[IdleConnection], total, limits| plan(organisation, idle, total, limits);
-        self.acquire(choose, organisation, priority, until).await
+        self.acquire(choose, &request).await
     }
 
     /// Takes any connection for one of the proxy's own commands.
@@ -214,19 +204,24 @@
         self: &Rc<Self>,
         until: Duration,
     ) -> Result<PooledConnection<P>, Failure> {
-        self.acquire(plan_command, COMMAND_ORGANISATION, 0, until)
-            .await
+        let request = Request {
+            organisation: COMMAND_ORGANISATION.to_owned(),
+            weight: 1.0,
+            priority: 0,
+            kind: StatementKind::Read,
+            deadline: until,
+            in_transaction: false,
+        };
+        self.acquire(plan_command, &request).await
     }
 
     async fn acquire(
         self: &Rc<Self>,
         choose: impl Fn(&[IdleConnection], u32, ConnectionLimits) -> Plan,
-        organisation: &str,
-        priority: u32,
-        until: Duration,
+        request: &Request,
     ) -> Result<PooledConnection<P>, Failure> {
-        let queue_key = (priority, self.next_waiter.get());
-        self.next_waiter.set(self.next_waiter.get() + 1);
+        let organisation = &request.organisation;
+        let (ticket, arrived) = (self.waiters.ticket(), clock::now());
         loop {
             self.close_expired();
             let idle: Vec<IdleConnection> = {
@@ -268,8 +263,12 @@
                     return self.open(organisation).await;
                 }
                 Plan::Wait => {
-                    self.wait_for_connection(organisation, queue_key, until)
-                        .await?
+                    if request.deadline <= clock::now() {
+                        return Err(failure(ErrorCode::Busy, Cause::Queue));
+                    }
+                    if !self.waiters.wait(ticket, request, arrived).await {
+                        self.wake_next();
+                    }
                 }
             }
         }
@@ -361,56 +360,9 @@
         }
     }
 
-    /// Waits until a connection may have become free or may be opened. Returns after
-    /// `RECHECK_INTERVAL` at the latest, since capacity also becomes available without a wake-up:
-    /// when the delay after a refusal ends, or when another host closes connections.
-    async fn wait_for_connection(
-        self: &Rc<Self>,
-        organisation: &str,
-        queue_key: (u32, u64),
-        until: Duration,
-    ) -> Result<(), Failure> {
-        let left = until.saturating_sub(clock::now());
-        if left.is_zero() {
-            return Err(failure(ErrorCode::Busy, Cause::Queue));
-        }
-        let (sender, receiver) = oneshot::channel();
-        let entry = (organisation.to_owned(), sender);
-        self.connection_waiters
-            .borrow_mut()
-            .insert(queue_key, entry);
-        let woken = tokio::time::timeout(left.min(RECHECK_INTERVAL), receiver).await;
-        if !matches!(woken, Ok(Ok(())))
-            && self
-                .connection_waiters
-                .borrow_mut()
-                .remove(&queue_key)
-                .is_none()
-        {
-            // The wake-up arrived just as the wait timed out: pass it on to the next caller.
-            self.wake_next();
-        }
-        Ok(())
-    }
-
-    /// Wakes one waiting caller. Among callers of the highest priority, one of the organisation of
-    /// the newest idle connection goes first.
+    /// Wakes a caller that waits for a connection.
     fn wake_next(&self) {
         let newest = self.idle.borrow().last().map(|c| c.organisation.clone());
-        let mut waiters = self.connection_waiters.borrow_mut();
-        let same = waiters
-            .iter()
-            .find(|(_, w)| Some(&w.0) == newest.as_ref())
-            .map(|(key, _)| *key);
-        let first = waiters.first_key_value().map(|(key, _)| *key);
-        // A caller of another organisation needs a new connection, but priority takes precedence.
-        let key = match (same, first) {
-            (Some(same), Some(first)) if same.0 <= first.0 => Some(same),
-            (_, first) => first,
-        };
-        if let Some((_, sender)) = key.and_then(|k| waiters.remove(&k)) {
-            // If this caller is gone, the others check the pool again after `RECHECK_INTERVAL`.
-            let _ = sender.send(());
-        }
+        self.waiters.wake_next(newest.as_deref());
     }
 }
--- a/crates/gateway/src/policy/admission.rs
+++ b/crates/gateway/src/policy/admission.rs
@@ -109,7 +109,7 @@
         if free == 0 {
             return None;
         }
-        let Some((ticket, statement)) = self.order.pop(&self.times, now) else {
+        let Some((ticket, statement)) = self.order.pop(None, &self.times, now) else {
             self.refusals.on_idle(free, now);
             return None;
         };
--- a/crates/gateway/src/policy/fair_class.rs
+++ b/crates/gateway/src/policy/fair_class.rs
@@ -14,6 +14,9 @@
 /// Organisations without waiting statements are forgotten beyond this number, so that the state is
 /// bounded. The queue itself holds at most 256 statements.
 const MAX_FLOWS: usize = 512;
+/// Statements by which an organisation may be preferred to the others. Then at most one grant in
+/// five costs the opening of a connection, which holds a slot as a statement does.
+const MAX_PREFERRED: f64 = 4.0;
 
 /// Waiting statements of a class by organisation. The organisation with the least virtual time is
 /// served first and charged the expected service time.
@@ -56,17 +59,33 @@
         }
     }
 
-    /// Removes the next statement and charges its organisation for it.
-    pub fn pop(&mut self, times: &ServiceTimes, now: Duration) -> Option<Ticket> {
-        let waiting = self.flows.values_mut().filter(|f| !f.is_empty());
-        let next = waiting.min_by(|a, b| {
+    /// Removes the next statement and charges its organisation for it. One of the preferred
+    /// organisation goes first, unless this would put it more than `MAX_PREFERRED` statements ahead.
+    pub fn pop(
+        &mut self,
+        preferred: Option<&str>,
+        times: &ServiceTimes,
+        now: Duration,
+    ) -> Option<Ticket> {
+        let waiting = self.flows.iter().filter(|(_, f)| !f.is_empty());
+        let (least, flow) = waiting.min_by(|(_, a), (_, b)| {
             let by_time = a.virtual_time.total_cmp(&b.virtual_time);
             by_time.then_with(|| a.first().cmp(&b.first()))
         })?;
-        let (ticket, kind) = next.pop()?;
-        self.virtual_time = self.virtual_time.max(next.virtual_time);
-        next.last_turn = now;
-        next.virtual_time += times.expected(kind) / next.weight;
+        let start = flow.virtual_time;
+        let is_near = |name: &&str| {
+            let flow = self.flows.get(*name).filter(|f| !f.is_empty());
+            flow.is_some_and(|f| {
+                (f.virtual_time - start) * f.weight
+                    < MAX_PREFERRED * times.expected(StatementKind::Read)
+            })
+        };
+        let next = preferred.filter(is_near).unwrap_or(least).to_owned();
+        let flow = self.flows.get_mut(&next)?;
+        let (ticket, kind) = flow.pop()?;
+        self.virtual_time = self.virtual_time.max(start);
+        flow.last_turn = now;
+        flow.virtual_time += times.expected(kind) / flow.weight;
         let virtual_time = self.virtual_time;
         let forget_idle = self.flows.len() > MAX_FLOWS;
         self.flows
--- a/crates/gateway/src/policy/fair_order.rs
+++ b/crates/gateway/src/policy/fair_order.rs
@@ -36,15 +36,21 @@
         self.statements.get(&ticket)
     }
 
-    pub fn insert(&mut self, ticket: Ticket, request: Request, now: Duration, expected: Duration) {
+    pub fn insert(
+        &mut self,
+        ticket: Ticket,
+        request: Request,
+        arrived: Duration,
+        expected: Duration,
+    ) {
         let mut statement = WaitingStatement {
             class: request.class(),
             request,
-            arrived: now,
-            ages_at: now,
+            arrived,
+            ages_at: arrived,
             expected,
         };
-        statement.ages_at = statement.ages_at(now);
+        statement.ages_at = statement.ages_at(arrived);
         if statement.class > 0 {
             self.ageing.insert((statement.ages_at, ticket));
         }
@@ -94,14 +100,15 @@
         }
     }
 
-    /// Removes the next statement.
+    /// Removes the next statement. Within a class, the preferred organisation may go first.
     pub fn pop(
         &mut self,
+        preferred: Option<&str>,
         times: &ServiceTimes,
         now: Duration,
     ) -> Option<(Ticket, WaitingStatement)> {
         let mut first = self.classes.first_entry()?;
-        let ticket = first.get_mut().pop(times, now)?;
+        let ticket = first.get_mut().pop(preferred, times, now)?;
         if first.get().is_empty() {
             first.remove();
         }
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod bounds;
 pub mod cold_start;
 pub mod connection_plan;
+pub mod connection_waiters;
 pub mod duty_hosts;
 pub mod failover_trigger;
 pub mod fair_class;
--- a/crates/gateway/tests/admission/main.rs
+++ b/crates/gateway/tests/admission/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the admission queue of a member.
 
+mod connections;
 mod estimates;
 mod loads;
 mod member;
