--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -8,14 +8,15 @@
 use tokio::sync::mpsc;
 
 use crate::clock;
-use crate::logs;
 use crate::member::channel_handle::ChannelHandle;
 use crate::member::channel_handle::QueuedJob;
+use crate::member::channel_log;
 use crate::member::connection::Response;
 use crate::member::connection_error::ConnectionError;
 use crate::member::pool::Pool;
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::send_check;
+use crate::member::slot_request;
 use crate::model::command::Command;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Consistency;
@@ -31,15 +32,10 @@
 use crate::model::transaction_state::TransactionState;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::policy::admission_request::Request;
 
 /// Time limit for rolling back a transaction, which needs no slot.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// A statement that took at least this fraction of its time limit is logged as slow. The latency
-/// objectives of routes are about a quarter of the limit.
-const SLOW_FRACTION: f64 = 0.25;
-
 /// Starts a channel that uses this host's connections.
 pub fn spawn<P: Platform>(node: Rc<Node<P>>, target: Target) -> ChannelHandle {
     let (handle, jobs) = ChannelHandle::pair();
@@ -96,26 +92,6 @@
     drop(primary_guard);
 }
 
-/// What a job's place in a queue of the member depends on.
-fn request<P: Platform>(
-    node: &Node<P>,
-    target: &Target,
-    job: &Job,
-    deadline: Duration,
-    in_transaction: bool,
-) -> Request {
-    let organisation = target.organisation.clone();
-    let configuration = node.configuration();
-    Request {
-        weight: configuration.map_or(1.0, |c| c.weight(&organisation)),
-        organisation,
-        priority: target.priority,
-        kind: job.work.kind(),
-        deadline,
-        in_transaction,
-    }
-}
-
 struct Channel<P: Platform> {
     node: Rc<Node<P>>,
     pool: Rc<Pool<P>>,
@@ -146,7 +122,7 @@
             }
         };
         let connection = pool
-            .connection(request(&node, &target, job, until, false))
+            .connection(slot_request::request(&node, &target, job, until, false))
             .await?;
         let mut channel = Self {
             node,
@@ -210,31 +186,22 @@
         tokio::select! {
             entry = jobs.recv() => entry,
             () = tokio::time::sleep(idle) => {
-                self.log_ended(Cause::Idle);
+                channel_log::ended(&self.target, Cause::Idle);
                 None
             }
             () = lost => {
-                self.log_ended(Cause::Primary);
+                channel_log::ended(&self.target, Cause::Primary);
                 None
             }
         }
     }
 
-    fn log_ended(&self, cause: Cause) {
-        let member = &self.target.member;
-        tracing::info!(
-            event = 630,
-            member,
-            ?cause,
-            "transaction ended by the proxy"
-        );
-    }
-
     async fn execute(&mut self, job: Job) -> Outcome {
         let start = clock::now();
         self.queued = Duration::ZERO;
         let outcome = self.try_execute(&job).await;
-        self.log(&job, &outcome, clock::now().saturating_sub(start));
+        let took = clock::now().saturating_sub(start);
+        channel_log::executed(&self.target, &job, &outcome, self.after, took, self.queued);
         let ended = self.target.transaction.is_none() || matches!(job.work, Work::Commit);
         self.done = self.done || ended || outcome.is_err();
         if self.done && !self.in_transaction {
@@ -243,34 +210,13 @@
         outcome
     }
 
-    /// Logs the outcome of a statement and the position that the member had to have applied.
-    fn log(&self, job: &Job, outcome: &Outcome, took: Duration) {
-        let id = String::from_utf8_lossy(&job.id);
-        let member = &self.target.member;
-        let after = self.after.map(|p| p.to_string()).unwrap_or_default();
-        if outcome.is_ok() && took >= job.timeout.mul_f64(SLOW_FRACTION) {
-            let (took, queued) = (took.as_millis() as u64, self.queued.as_millis() as u64);
-            tracing::info!(event = 633, %id, member, took, queued, "statement was slow");
-        }
-        match outcome {
-            Ok(answer) if logs::sampled(&job.id) => {
-                let position = answer.position.map(|p| p.to_string()).unwrap_or_default();
-                tracing::info!(event = 631, %id, member, after, position, "statement ran");
-            }
-            Ok(_) => {}
-            Err(error) => {
-                let (code, cause) = (error.code, error.cause);
-                tracing::info!(event = 632, %id, member, after, ?code, ?cause, "statement failed");
-            }
-        }
-    }
-
     async fn try_execute(&mut self, job: &Job) -> Outcome {
         let start = clock::now();
         let until = start + job.timeout;
         let prepared = self.prepare(job).await?;
         self.pool.wait_for_rate(!self.in_transaction, until).await?;
-        let request = request(&self.node, &self.target, job, until, self.in_transaction);
+        let request =
+            slot_request::request(&self.node, &self.target, job, until, self.in_transaction);
         let slot = self.pool.slot(request, &self.node.metrics).await?;
         self.queued = clock::now().saturating_sub(start);
         let primary = matches!(self.target.consistency, Consistency::Primary);
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod channel;
 pub mod channel_handle;
+pub mod channel_log;
 pub mod connection;
 pub mod connection_error;
 pub mod connection_queue;
@@ -13,3 +14,4 @@
 pub mod send_check;
 pub mod slot;
 pub mod slot_queue;
+pub mod slot_request;
--- a/crates/gateway/src/policy/fair_class.rs
+++ b/crates/gateway/src/policy/fair_class.rs
@@ -23,8 +23,8 @@
 #[derive(Debug, Default)]
 pub struct FairClass {
     flows: BTreeMap<OrganisationId, Flow>,
-    /// Virtual time of the last organisation served. One whose statements begin to wait starts here
-    /// at the earliest, so that it gains no credit for the time before.
+    /// Least virtual time at the last grant. No flow is behind it: new ones start here, so that an
+    /// organisation gains no credit for the time before, and `pop` forgets idle ones that it passes.
     virtual_time: f64,
 }
 
@@ -46,9 +46,6 @@
             .flows
             .entry(organisation.to_owned())
             .or_insert_with(|| Flow::new(virtual_time));
-        if flow.is_empty() {
-            flow.virtual_time = flow.virtual_time.max(virtual_time);
-        }
         flow.weight = weight;
         flow.insert(deadline, ticket, kind);
     }
@@ -117,9 +114,6 @@
     ) {
         let own = self.flows.get(organisation);
         let mut start = own.map_or(self.virtual_time, |f| f.virtual_time);
-        if own.is_none_or(Flow::is_empty) {
-            start = start.max(self.virtual_time);
-        }
         if let Some(flow) = own {
             let before = ahead.expected();
             ahead.add(&flow.counts_until(deadline), 1.0);
--- a/crates/gateway/tests/admission/order.rs
+++ b/crates/gateway/tests/admission/order.rs
@@ -140,6 +140,31 @@
     );
 }
 
+/// Guards against an organisation that catches up on the time in which it sent nothing, or that loses
+/// its place although it waited: `a` is served alone first, then `b` sends as many.
+#[test]
+fn idle_time_gives_no_credit() {
+    let mut queue = AdmissionQueue::new(1);
+    queue.request(read("x", millis(1000)), millis(0));
+    let mut of_a = Vec::new();
+    for _ in 0..30 {
+        of_a.push(wait(&mut queue, read("a", millis(1000)), millis(0)));
+    }
+    let next = |queue: &mut AdmissionQueue| {
+        queue.release(StatementKind::Read, millis(1));
+        let granted = queue.grant_next(millis(1)).expect("statements wait");
+        of_a.contains(&granted)
+    };
+    for _ in 0..20 {
+        assert!(next(&mut queue));
+    }
+    for _ in 0..10 {
+        wait(&mut queue, read("b", millis(1000)), millis(1));
+    }
+    let count = (0..10).filter(|_| next(&mut queue)).count();
+    assert_eq!(count, 5, "of the next ten grants");
+}
+
 /// Guards against an organisation that fills the queue so that the statements of others are refused.
 #[test]
 fn full_queue_takes_a_statement_of_another_organisation() {
