Bound the memory, the time and the number of clients

Cause: each connection had a buffer of up to 2 MiB that outlived its message, values kept the whole buffer of their message, sessions and the connections to members kept any number of values and prepared statements, answers were collected whatever their size, and nothing counted connections or bytes for the process as a whole.

Now one budget for the process (client_memory, held_bytes) counts input, messages that run, session state and answers, also those that members are still sending. front/client_connection takes the place of the framed stream: it reads only once the budget grants the next buffer, gives buffers back after a message, and bounds the time for a message and for an answer. The listener refuses connections beyond the limit and closes the oldest silent one. Session state has limits; pooled connections to members keep at most 1 MiB of prepared statements and of values and no large buffers. The settings file may set each bound (clients.*). Refusals are counted by cause (client_refusals) and logged (events 690, 691, 692, 695).

A session that stays within the limits sees the same messages in the same order. Statements that run are never cut off, and an answer to a commit is never dropped.

The target `gateway` gets the module `limits`: idle sessions and open transactions go on, a stalled message, unread answers, too much state, a too large answer, a silent holder of memory and too many connections are refused as described.

Existing tests: fleet.rs names the new field of Settings with its default.

--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -1,13 +1,24 @@
 //! Accepts client connections.
 
+use std::io::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use bytes::BytesMut;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::codec::Encoder;
 
-use crate::front::session;
+use crate::front::client_connection::ALLOWANCE;
+use crate::front::session_start;
+use crate::model::error_code::ErrorCode;
+use crate::model::refusal::Refusal;
+use crate::model::reply::Reply;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::policy::connection_count::Entry;
+use crate::wire_error::WireError;
 
 /// Delay after a failed accept, so that running out of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -16,9 +27,7 @@
 pub async fn serve<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(session::run(node.clone(), stream));
-            }
+            Ok((stream, _)) => on_connection(&node, stream),
             Err(error) => {
                 tracing::warn!(event = 614, %error, "failed to accept a client connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -26,3 +35,35 @@
         }
     }
 }
+
+fn on_connection<P: Platform>(node: &Rc<Node<P>>, stream: TcpStream) {
+    let held = node.memory.open(ALLOWANCE);
+    let entry = node.connections.borrow_mut().enter(held.id());
+    match entry {
+        Entry::Admit => {}
+        Entry::Replace(oldest) => node.memory.close(oldest, Refusal::Starting),
+        Entry::Refuse => {
+            node.metrics.count_refusal(Refusal::Connections);
+            let open = node.connections.borrow().open_count();
+            tracing::warn!(event = 690, open, "client refused: too many connections");
+            if let Err(error) = refuse::<P>(stream) {
+                tracing::debug!(event = 660, %error, "session ended");
+            }
+            return;
+        }
+    }
+    tokio::task::spawn_local(session_start::run(node.clone(), stream, held));
+}
+
+/// Tells a client that there are too many, and closes the connection without waiting.
+fn refuse<P: Platform>(stream: TcpStream) -> Result<(), WireError> {
+    let reply = Reply::Error {
+        code: ErrorCode::Busy,
+        text: Bytes::from_static(b"too many connections"),
+    };
+    let mut message = BytesMut::new();
+    P::ClientCodec::default().encode(reply, &mut message)?;
+    // The socket does not block; an empty send buffer takes the whole message.
+    stream.into_std()?.write_all(&message)?;
+    Ok(())
+}
--- a/crates/gateway/src/front/messages.rs
+++ b/crates/gateway/src/front/messages.rs
@@ -3,29 +3,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::SinkExt;
-use futures::StreamExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
 
+use crate::front::client_connection::ClientConnection;
+use crate::front::session_end::SessionEnd;
 use crate::model::error_code::ErrorCode;
+use crate::model::outcome::Cause;
+use crate::model::refusal::Refusal;
 use crate::model::reply::Reply;
 use crate::model::transaction_state::TransactionState;
 use crate::platform::Platform;
-use crate::wire_error::WireError;
 
 /// How long the host waits for a client to close the connection after the last message.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A connection to a client, with its messages decoded and encoded.
-pub type ClientConnection<P> = Framed<TcpStream, <P as Platform>::ClientCodec>;
-
 /// Tells a client that its session is refused, and closes the connection.
 pub async fn refuse<P: Platform>(
     connection: &mut ClientConnection<P>,
     code: ErrorCode,
-) -> Result<(), WireError> {
+) -> Result<(), SessionEnd> {
     tracing::info!(event = 646, ?code, "session refused");
     end_session::<P>(connection, code, "session refused").await
 }
@@ -35,30 +30,50 @@
 pub async fn close_for_stop<P: Platform>(
     connection: &mut ClientConnection<P>,
     code: ErrorCode,
-) -> Result<(), WireError> {
+) -> Result<(), SessionEnd> {
     end_session::<P>(connection, code, "the host stops").await
 }
 
-/// Sends the last message of a session. The connection is drained until the client closes it:
-/// closing with unread data would reset the connection, and the message could be lost.
+/// Ends a session because its client exceeded a limit. Nothing of an incomplete message is run.
+pub async fn close_for_limit<P: Platform>(
+    connection: &mut ClientConnection<P>,
+    refusal: Refusal,
+) -> Result<(), SessionEnd> {
+    let (code, text) = match refusal {
+        Refusal::MessageTime => (
+            ErrorCode::Malformed,
+            "the message was not completed in time",
+        ),
+        _ => (ErrorCode::Busy, "the host has no memory for this client"),
+    };
+    end_session::<P>(connection, code, text).await
+}
+
+/// Sends the last message of a session and waits a moment until the client has read it.
 async fn end_session<P: Platform>(
     connection: &mut ClientConnection<P>,
     code: ErrorCode,
     text: &'static str,
-) -> Result<(), WireError> {
+) -> Result<(), SessionEnd> {
     let text = Bytes::from_static(text.as_bytes());
-    let closing = async {
-        connection.send(Reply::Error { code, text }).await?;
-        connection.get_mut().shutdown().await?;
-        while connection.next().await.is_some_and(|read| read.is_ok()) {}
-        Ok(())
-    };
+    let closing = connection.send_last(Reply::Error { code, text });
     // After the timeout the connection is closed although the client has not closed its side.
     tokio::time::timeout(CLOSE_TIMEOUT, closing)
         .await
         .unwrap_or(Ok(()))
 }
 
+/// The message that tells why a request failed. There is no cause if the message itself was refused.
+pub fn error(code: ErrorCode, cause: Option<Cause>) -> Reply {
+    let reason = match (cause, code) {
+        (Some(cause), _) => format!("{cause:?}"),
+        (None, ErrorCode::TooLarge) => "the message is too long".to_owned(),
+        (None, _) => "the message is not valid".to_owned(),
+    };
+    let text = Bytes::from(reason);
+    Reply::Error { code, text }
+}
+
 /// The message that tells the client to send the next request.
 pub fn ready(state: TransactionState) -> Reply {
     Reply::Ready {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Sessions of clients.
 
+pub mod client_connection;
 pub mod credentials;
 pub mod dispatch;
 pub mod listener;
@@ -7,4 +8,7 @@
 pub mod messages;
 pub mod remote;
 pub mod session;
+pub mod session_end;
+pub mod session_start;
+pub mod session_state;
 pub mod transaction;
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -1,93 +1,54 @@
-//! One client's session.
+//! One client's open session.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::SinkExt;
-use futures::StreamExt;
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::position::LogPosition;
-use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
 
 use crate::clock;
+use crate::front::client_connection::ClientConnection;
 use crate::front::credentials::ANONYMOUS;
 use crate::front::credentials::Credentials;
 use crate::front::dispatch;
 use crate::front::dispatch::FirstStatement;
-use crate::front::messages::ClientConnection;
 use crate::front::messages::close_for_stop;
+use crate::front::messages::error;
 use crate::front::messages::ready;
-use crate::front::messages::refuse;
+use crate::front::session_end::SessionEnd;
+use crate::front::session_state::SessionState;
 use crate::front::transaction::Transaction;
+use crate::held_bytes::HeldBytes;
+use crate::held_bytes::HeldFor;
 use crate::member::channel_handle;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Job;
-use crate::model::job::Values;
 use crate::model::job::Work;
 use crate::model::outcome::Answer;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
+use crate::model::refusal::Refusal;
 use crate::model::reply::Reply;
 use crate::model::request::Request;
-use crate::model::statement::Access;
 use crate::model::statement::Statement;
 use crate::model::transaction_state::TransactionState;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::shutdown_stage::ShutdownStage;
-use crate::socket;
-use crate::wire_error::WireError;
 
-/// A client that has not sent its start message within this time is disconnected.
-const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// While the host stops, a session outside a transaction is closed after this idle time. A client
 /// that has just received an answer is likely to send its next request at once, and closing
 /// immediately would fail that request.
 const STOP_IDLE_TIME: Duration = Duration::from_millis(300);
 
-/// Serves a client until the session ends.
-pub async fn run<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
-    node.sessions.set(node.sessions.get() + 1);
-    let result = serve(&node, stream).await;
-    node.sessions.set(node.sessions.get() - 1);
-    if let Err(error) = result {
-        tracing::debug!(event = 660, %error, "session ended");
-    }
-}
-
-async fn serve<P: Platform>(node: &Rc<Node<P>>, stream: TcpStream) -> Result<(), WireError> {
-    socket::set_options(&stream)?;
-    let mut connection: ClientConnection<P> = Framed::new(stream, P::ClientCodec::default());
-    let first = match tokio::time::timeout(START_TIMEOUT, connection.next()).await {
-        Ok(Some(request)) => request?,
-        Ok(None) => return Ok(()),
-        // No complete message arrived in time.
-        Err(_) => Request::Invalid(ErrorCode::Malformed),
-    };
-    let (database, key) = match first {
-        Request::Start { database, key } => (database, key),
-        Request::Invalid(code) => return refuse::<P>(&mut connection, code).await,
-        _ => return refuse::<P>(&mut connection, ErrorCode::Malformed).await,
-    };
-    let credentials = Credentials::new(node.clone(), &database, &key);
-    if let Err(code) = credentials.check() {
-        return refuse::<P>(&mut connection, code).await;
-    }
-    let mut session = Session::new(node.clone(), credentials);
-    connection.send(ready(TransactionState::Idle)).await?;
-    session.run(&mut connection).await
-}
-
-struct Session<P: Platform> {
+/// An open session.
+pub struct Session<P: Platform> {
     node: Rc<Node<P>>,
     credentials: Credentials<P>,
-    values: Values,
-    prepared: HashMap<Bytes, (Access, Bytes)>,
+    kept: SessionState,
     state: TransactionState,
     transaction: Option<Transaction>,
     /// Position of this session's last commit.
@@ -95,19 +56,19 @@
 }
 
 impl<P: Platform> Session<P> {
-    fn new(node: Rc<Node<P>>, credentials: Credentials<P>) -> Self {
+    pub fn new(node: Rc<Node<P>>, credentials: Credentials<P>) -> Self {
         Self {
+            kept: SessionState::new(node.settings.clients),
             node,
             credentials,
-            values: Values::new(),
-            prepared: HashMap::new(),
             state: TransactionState::Idle,
             transaction: None,
             last_commit: None,
         }
     }
 
-    async fn run(&mut self, connection: &mut ClientConnection<P>) -> Result<(), WireError> {
+    /// Answers the client's requests until the session ends.
+    pub async fn run(&mut self, connection: &mut ClientConnection<P>) -> Result<(), SessionEnd> {
         let mut stage = self.node.stage.subscribe();
         loop {
             let reached = *stage.borrow_and_update();
@@ -159,17 +120,20 @@
         connection: &mut ClientConnection<P>,
         id: Bytes,
         statement: Statement,
-    ) -> Result<(), WireError> {
+    ) -> Result<(), SessionEnd> {
         let started = clock::now();
         let running = self.node.running.clone();
         running.set(running.get() + 1);
-        let result = self.run_statement(&id, statement).await;
+        // A statement that runs ends within its time limit, and its outcome must be told.
+        connection.held.set_pinned(true);
+        let result = self
+            .run_statement(&id, statement, &mut connection.held)
+            .await;
+        connection.held.set_pinned(false);
         running.set(running.get() - 1);
         match result {
             Ok(Some(answer)) => {
-                for row in answer.rows {
-                    connection.feed(Reply::Row(row)).await?;
-                }
+                connection.feed_rows(answer.rows).await?;
                 connection.feed(Reply::Complete(Some(answer.proof))).await?;
                 self.node.metrics.record_answered(
                     &self.credentials.database,
@@ -195,6 +159,9 @@
         self.node
             .metrics
             .count_failure(&self.credentials.database, error);
+        if (code, cause) == (ErrorCode::TooLarge, Cause::Reply) {
+            self.node.metrics.count_refusal(Refusal::AnswerSize);
+        }
         let database = &self.credentials.database;
         tracing::info!(event = 661, %id, database, ?code, ?cause, waited, "statement failed");
     }
@@ -204,17 +171,11 @@
         connection: &mut ClientConnection<P>,
         code: ErrorCode,
         cause: Option<Cause>,
-    ) -> Result<(), WireError> {
+    ) -> Result<(), SessionEnd> {
         if self.state != TransactionState::Idle && self.transaction.is_some() {
             self.state = TransactionState::Failed;
         }
-        let reason = match (cause, code) {
-            (Some(cause), _) => format!("{cause:?}"),
-            (None, ErrorCode::TooLarge) => "the message is too long".to_owned(),
-            (None, _) => "the message is not valid".to_owned(),
-        };
-        let text = Bytes::from(reason);
-        connection.feed(Reply::Error { code, text }).await?;
+        connection.feed(error(code, cause)).await?;
         connection.send(ready(self.state)).await
     }
 
@@ -223,6 +184,7 @@
         &mut self,
         id: &Bytes,
         statement: Statement,
+        held: &mut HeldBytes,
     ) -> Result<Option<Answer>, Failure> {
         let malformed = || failure(ErrorCode::Malformed, Cause::Member);
         match (self.state, statement) {
@@ -251,15 +213,15 @@
                 Ok(None)
             }
             (TransactionState::Open, Statement::Commit) => {
-                let result = self.run_work(id, Work::Commit).await;
+                let result = self.run_work(id, Work::Commit, held).await;
                 self.end_transaction();
                 result.map(Some)
             }
             (TransactionState::Open, Statement::Begin { .. })
             | (TransactionState::Idle, Statement::Commit | Statement::Rollback) => Err(malformed()),
             (_, Statement::Set { name, value }) => {
-                self.set_value(name, value);
-                Ok(None)
+                let set = self.kept.set(&name, &value, held);
+                self.on_kept(set)
             }
             (
                 _,
@@ -269,17 +231,19 @@
                     template,
                 },
             ) => {
-                self.prepared.insert(name, (access, template));
-                Ok(None)
+                let prepared = self.kept.prepare(&name, access, &template, held);
+                self.on_kept(prepared)
             }
-            (_, Statement::Deallocate { name }) => match self.prepared.remove(&name) {
-                Some(_) => Ok(None),
-                None => Err(failure(ErrorCode::NoStatement, Cause::Member)),
+            (_, Statement::Deallocate { name }) => match self.kept.deallocate(&name, held) {
+                true => Ok(None),
+                false => Err(failure(ErrorCode::NoStatement, Cause::Member)),
             },
-            (_, Statement::Read(text)) => self.run_work(id, Work::Read(text)).await.map(Some),
-            (_, Statement::Write(text)) => self.run_work(id, Work::Write(text)).await.map(Some),
+            (_, Statement::Read(text)) => self.run_work(id, Work::Read(text), held).await.map(Some),
+            (_, Statement::Write(text)) => {
+                self.run_work(id, Work::Write(text), held).await.map(Some)
+            }
             (_, Statement::Execute { name, arguments }) => {
-                let known = self.prepared.get(&name).cloned();
+                let known = self.kept.prepared(&name).cloned();
                 let (access, template) =
                     known.ok_or(failure(ErrorCode::NoStatement, Cause::Member))?;
                 let work = Work::Execute {
@@ -287,7 +251,7 @@
                     template,
                     arguments,
                 };
-                self.run_work(id, work).await.map(Some)
+                self.run_work(id, work, held).await.map(Some)
             }
         }
     }
@@ -297,14 +261,22 @@
         self.state = TransactionState::Idle;
     }
 
-    fn set_value(&mut self, name: Bytes, value: Bytes) {
-        match self.values.binary_search_by(|v| v.0.cmp(&name)) {
-            Ok(index) => self.values[index].1 = value,
-            Err(index) => self.values.insert(index, (name, value)),
+    /// Answers a statement that changes what the session keeps.
+    fn on_kept(&self, result: Result<(), Failure>) -> Result<Option<Answer>, Failure> {
+        if let Err(error) = &result {
+            self.node.metrics.count_refusal(Refusal::State);
+            let (database, code) = (&self.credentials.database, error.code);
+            tracing::info!(event = 695, database, ?code, "session state refused");
         }
+        result.map(|()| None)
     }
 
-    async fn run_work(&mut self, id: &Bytes, work: Work) -> Result<Answer, Failure> {
+    async fn run_work(
+        &mut self,
+        id: &Bytes,
+        work: Work,
+        held: &mut HeldBytes,
+    ) -> Result<Answer, Failure> {
         let organisation = self.authorise()?;
         let read_only = self.transaction.as_ref().map(|t| t.read_only);
         let has_channel = self
@@ -319,7 +291,7 @@
         let job = Job {
             id: id.clone(),
             work,
-            values: self.values.clone(),
+            values: self.kept.values().clone(),
             timeout: route.timeout,
         };
         let answer = if has_channel {
@@ -343,6 +315,7 @@
             }
             answer
         };
+        self.hold_answer(&answer, durable, held)?;
         if durable && let Some(position) = answer.position {
             self.last_commit = self.last_commit.max(Some(position));
         }
@@ -352,6 +325,31 @@
         Ok(answer)
     }
 
+    /// Counts the rows of an answer until they are sent. Without memory for them, the answer is dropped,
+    /// unless it tells of a commit.
+    fn hold_answer(
+        &mut self,
+        answer: &Answer,
+        durable: bool,
+        held: &mut HeldBytes,
+    ) -> Result<(), Failure> {
+        let bytes = answer.row_bytes();
+        if durable {
+            held.set(HeldFor::Answer, bytes);
+            return Ok(());
+        }
+        if held.try_set(HeldFor::Answer, bytes) {
+            return Ok(());
+        }
+        self.node.metrics.count_refusal(Refusal::Answer);
+        tracing::info!(event = 692, bytes, "no memory for the answer to a client");
+        if let Some(transaction) = &mut self.transaction {
+            // The client still has to end the failed transaction.
+            transaction.channel = None;
+        }
+        Err(failure(ErrorCode::Aborted, Cause::Reply))
+    }
+
     async fn run_in_transaction(&mut self, job: Job) -> Outcome {
         let channel = self.transaction.as_ref().and_then(|t| t.channel.as_ref());
         let Some(channel) = channel else {
--- /dev/null
+++ b/crates/gateway/src/front/session_end.rs
@@ -0,0 +1,31 @@
+//! Why a session ends early.
+
+use thiserror::Error;
+
+use crate::model::refusal::Refusal;
+use crate::wire_error::WireError;
+
+/// Why nothing more can be read from or written to a client.
+#[derive(Debug, Error)]
+pub enum SessionEnd {
+    #[error("{0}")]
+    Wire(#[from] WireError),
+    /// The client exceeded a limit while the host read from it, so that it can still be told.
+    #[error("the client exceeded a limit: {0:?}")]
+    Refused(Refusal),
+    /// The client exceeded a limit in the middle of an answer.
+    #[error("the client did not read an answer: {0:?}")]
+    Unread(Refusal),
+}
+
+impl From<std::io::Error> for SessionEnd {
+    fn from(error: std::io::Error) -> Self {
+        Self::Wire(error.into())
+    }
+}
+
+impl From<Refusal> for SessionEnd {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -108,6 +108,11 @@
         self.node.settings.listen
     }
 
+    /// Number of open sessions of clients.
+    pub fn sessions(&self) -> u32 {
+        self.node.sessions.get()
+    }
+
     /// Applies those changed settings that take effect without a restart.
     pub fn reload(&self, changed: &Settings) {
         let applied = self.node.settings.reloaded(changed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,10 +1,12 @@
 //! Protocol-neutral session engine: client sessions, connections to members, and the state that
 //! hosts share through the platform's store.
 
+pub mod client_memory;
 pub mod clock;
 pub mod failover;
 pub mod front;
 pub mod gateway;
+pub mod held_bytes;
 pub mod host_table;
 pub mod log_limit;
 pub mod logs;
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock;
+use crate::front::client_connection::ALLOWANCE;
 use crate::logs;
 use crate::member::channel_handle::ChannelHandle;
 use crate::member::channel_handle::QueuedJob;
@@ -123,9 +124,11 @@
                 Some(own.map_or(floor, |own| own.max(floor)))
             }
         };
-        let connection = pool
+        let mut connection = pool
             .connection(&target.organisation, target.priority, until)
             .await?;
+        let largest = node.settings.clients.max_answer_bytes;
+        connection.count_answers(node.memory.open(ALLOWANCE), largest);
         let mut channel = Self {
             node,
             pool,
--- a/crates/gateway/src/member/connection.rs
+++ b/crates/gateway/src/member/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a member.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,9 +13,12 @@
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::position::LogPosition;
 use tokio::net::TcpStream;
+use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 use tokio_util::codec::Framed;
 
+use crate::held_bytes::HeldBytes;
+use crate::held_bytes::HeldFor;
 use crate::member::connection_error::ConnectionError;
 use crate::model::command::Command;
 use crate::model::error_code::ErrorCode;
@@ -23,6 +27,7 @@
 use crate::model::statement::Access;
 use crate::model::transaction_state::TransactionState;
 use crate::platform::Platform;
+use crate::policy::read_buffer;
 use crate::socket;
 use crate::wire_error::WireError;
 
@@ -32,6 +37,20 @@
 /// Time limit for each command that needs no slot.
 const SETUP_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Largest buffer that a connection keeps when it is idle, in bytes.
+const MAX_IDLE_BUFFER: usize = 64 << 10;
+/// Bytes of values with which a connection may be idle. A larger one is closed, since it would keep what
+/// a session has set after its end.
+const MAX_IDLE_VALUES: usize = 1 << 20;
+/// Bytes of prepared statements on a connection. Beyond it all are removed by a reset.
+const MAX_PREPARED_BYTES: usize = 1 << 20;
+/// Counted for each prepared statement beside its text, in bytes.
+const PREPARED_BYTES: usize = 128;
+/// Counted for each row of an answer beside its text, in bytes.
+const ROW_BYTES: usize = 32;
+/// Largest answer to a command of the proxy itself, in bytes. They have one row.
+const MAX_COMMAND_ANSWER: u64 = 1 << 20;
+
 /// A member's complete answer to a command.
 #[derive(Debug)]
 pub struct Response {
@@ -49,12 +68,17 @@
     values: Values,
     /// Names of the prepared statements, by what they run.
     prepared: HashMap<(Access, Bytes), Bytes>,
+    /// Counted size of the prepared statements.
+    prepared_bytes: usize,
     /// Number of statements that were prepared on this connection.
     prepared_count: u64,
     /// The pool's generation when the connection was opened. Connections of an older generation are
     /// not reused.
     pub generation: u64,
     pub last_used: Duration,
+    /// What the answer to a client holds of the memory for clients, and its largest size. `None` for
+    /// commands of the proxy itself.
+    answer: Option<(HeldBytes, u64)>,
 }
 
 impl<P: Platform> Connection<P> {
@@ -97,12 +121,30 @@
             organisation: organisation.to_owned(),
             values: Values::new(),
             prepared: HashMap::new(),
+            prepared_bytes: 0,
             prepared_count: 0,
             generation: 0,
             last_used: Duration::ZERO,
+            answer: None,
         })
     }
 
+    /// Counts the next answers in `held`, each up to `limit` bytes.
+    pub fn count_answers(&mut self, held: HeldBytes, limit: u64) {
+        self.answer = Some((held, limit));
+    }
+
+    /// Gives back the memory that an idle connection does not need. Returns whether it may be used
+    /// again.
+    pub fn prepare_idle(&mut self) -> bool {
+        self.answer = None;
+        if self.stream.read_buffer().is_empty() {
+            *self.stream.read_buffer_mut() = BytesMut::with_capacity(read_buffer::SMALL);
+        }
+        let values = self.values.iter().map(|(n, v)| n.len() + v.len());
+        values.sum::<usize>() <= MAX_IDLE_VALUES
+    }
+
     /// Whether the member has closed the connection, or sent something that was not asked for, which the
     /// next command would take for its answer.
     pub fn is_stale(&mut self) -> bool {
@@ -121,8 +163,17 @@
         if self.is_stale() {
             return Err(ConnectionError::Stale);
         }
+        let statement = template.map(|(access, template)| (access, template.clone()));
+        let known = statement
+            .as_ref()
+            .and_then(|s| self.prepared.get(s))
+            .cloned();
         let is_unset = |v: &(Bytes, Bytes)| values.iter().all(|w| w.0 != v.0);
-        let reset = self.values.iter().any(is_unset);
+        let size = statement.as_ref().map_or(0, |s| s.1.len() + PREPARED_BYTES);
+        let is_full = known.is_none()
+            && !self.prepared.is_empty()
+            && self.prepared_bytes + size > MAX_PREPARED_BYTES;
+        let reset = self.values.iter().any(is_unset) || is_full;
         let mut commands = Vec::new();
         if reset {
             commands.push(Command::Reset);
@@ -136,9 +187,7 @@
                 });
             }
         }
-        let statement = template.map(|(access, template)| (access, template.clone()));
-        let known = statement.as_ref().and_then(|s| self.prepared.get(s));
-        let known = known.filter(|_| !reset).cloned();
+        let known = known.filter(|_| !reset);
         let is_known = known.is_some();
         let new_name = || Bytes::from(format!("s{}", self.prepared_count));
         let name = statement.as_ref().map(|_| known.unwrap_or_else(new_name));
@@ -154,10 +203,12 @@
         self.encode(commands)?;
         if reset {
             self.prepared.clear();
+            self.prepared_bytes = 0;
         }
         self.values.clone_from(values);
         if let Some((statement, name)) = new {
             self.prepared.insert(statement, name);
+            self.prepared_bytes += size;
             self.prepared_count += 1;
         }
         if count == 0 {
@@ -206,7 +257,18 @@
     }
 
     async fn flush(&mut self) -> Result<(), WireError> {
-        SinkExt::<Command>::flush(&mut self.stream).await
+        let length = self.stream.write_buffer().len() as u64;
+        if let Some((held, _)) = &mut self.answer {
+            held.set(HeldFor::Message, length);
+        }
+        SinkExt::<Command>::flush(&mut self.stream).await?;
+        if self.stream.write_buffer().capacity() > MAX_IDLE_BUFFER {
+            *self.stream.write_buffer_mut() = BytesMut::new();
+        }
+        if let Some((held, _)) = &mut self.answer {
+            held.set(HeldFor::Message, 0);
+        }
+        Ok(())
     }
 
     async fn receive_within(&mut self, timeout: Duration) -> Result<Response, ConnectionError> {
@@ -217,10 +279,15 @@
 
     async fn receive(&mut self) -> Result<Response, ConnectionError> {
         let mut rows = Vec::new();
+        let mut bytes = 0;
         let mut result = None;
         loop {
-            match self.stream.next().await.ok_or(ConnectionError::Closed)?? {
-                Reply::Row(row) => rows.push(row),
+            match self.next_reply(bytes).await? {
+                Reply::Row(row) => {
+                    bytes += (row.len() + ROW_BYTES) as u64;
+                    self.count_answer(bytes, 0).await?;
+                    rows.push(row);
+                }
                 Reply::Complete(proof) => result = Some(Ok(proof)),
                 Reply::Error { code, text } => result = Some(Err((code, text))),
                 Reply::Ready { state, position } => {
@@ -234,4 +301,53 @@
             }
         }
     }
+
+    /// Receives a message of an answer, of which `bytes` have arrived.
+    async fn next_reply(&mut self, bytes: u64) -> Result<Reply, ConnectionError> {
+        loop {
+            let mut buffer = std::mem::take(self.stream.read_buffer_mut());
+            let decoded = self.stream.codec_mut().decode(&mut buffer);
+            *self.stream.read_buffer_mut() = buffer;
+            if let Some(reply) = decoded? {
+                return Ok(reply);
+            }
+            let buffer = self.stream.read_buffer();
+            let length = buffer.len();
+            if length == buffer.capacity() {
+                let larger = read_buffer::next_size(length);
+                self.count_answer(bytes, larger as u64).await?;
+                let buffer = self.stream.read_buffer_mut();
+                buffer.reserve(larger - length);
+            }
+            self.stream
+                .get_ref()
+                .readable()
+                .await
+                .map_err(WireError::from)?;
+            let mut buffer = std::mem::take(self.stream.read_buffer_mut());
+            let read = self.stream.get_ref().try_read_buf(&mut buffer);
+            *self.stream.read_buffer_mut() = buffer;
+            match read {
+                Ok(0) => return Err(ConnectionError::Closed),
+                Err(error) if error.kind() != io::ErrorKind::WouldBlock => {
+                    return Err(WireError::from(error).into());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Counts the rows of an answer and the buffer for the next one. Nothing more is read from the member
+    /// until there is memory for them.
+    async fn count_answer(&mut self, rows: u64, buffer: u64) -> Result<(), ConnectionError> {
+        let limit = self.answer.as_ref().map_or(MAX_COMMAND_ANSWER, |a| a.1);
+        if rows > limit {
+            return Err(WireError::TooLarge(limit as usize).into());
+        }
+        let Some((held, _)) = &mut self.answer else {
+            return Ok(());
+        };
+        let counted = held.wait_set(HeldFor::Answer, rows + buffer).await;
+        counted.map_err(|_| ConnectionError::Memory)
+    }
 }
--- a/crates/gateway/src/member/connection_error.rs
+++ b/crates/gateway/src/member/connection_error.rs
@@ -25,6 +25,9 @@
     Timeout,
     #[error("the member refused the connection or a command that prepares it: {0:?}")]
     Refused(ErrorCode),
+    /// The memory for clients is short, and the answer is among the largest that it holds.
+    #[error("there is no memory for the member's answer")]
+    Memory,
     #[error("the member's answer violates the protocol")]
     Protocol,
 }
--- a/crates/gateway/src/member/pooled_connection.rs
+++ b/crates/gateway/src/member/pooled_connection.rs
@@ -22,10 +22,11 @@
         }
     }
 
-    /// Returns the connection to the pool. It must be outside any transaction and have no
+    /// Returns the connection to the pool, or closes it if it would keep too much memory. It must be outside any transaction and have no
     /// outstanding answer.
     pub fn release(mut self) {
-        if let Some(connection) = self.connection.take() {
+        let may_idle = self.connection.as_mut().is_some_and(|c| c.prepare_idle());
+        if may_idle && let Some(connection) = self.connection.take() {
             self.pool.on_returned(connection);
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use percent_encoding::utf8_percent_encode;
 
 use crate::model::outcome::Failure;
+use crate::model::refusal::Refusal;
 
 /// Further series are dropped, so that names sent by clients cannot grow memory without bound.
 const MAX_SERIES: usize = 512;
@@ -157,6 +158,13 @@
         let metric = metric.with_tag("route", &route).with_tag("code", &code);
         metric.with_tag("cause", &cause).send();
     }
+
+    /// Counts a client that was refused or closed because of a limit.
+    pub fn count_refusal(&self, cause: Refusal) {
+        let cause = format!("{cause:?}");
+        let metric = self.client.count_with_tags("client_refusals", 1);
+        metric.with_tag("cause", &cause).send();
+    }
 }
 
 /// Value of a label for a name that may hold any characters.
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -11,6 +11,7 @@
 pub mod object;
 pub mod outcome;
 pub mod primary_record;
+pub mod refusal;
 pub mod region_limit;
 pub mod reply;
 pub mod request;
--- a/crates/gateway/src/model/outcome.rs
+++ b/crates/gateway/src/model/outcome.rs
@@ -17,6 +17,13 @@
     pub position: Option<LogPosition>,
 }
 
+impl Answer {
+    /// Size of all rows.
+    pub fn row_bytes(&self) -> u64 {
+        self.rows.iter().map(|row| row.len() as u64).sum()
+    }
+}
+
 /// Why a job has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use magnoliahatch_core::position::LogPosition;
 use tokio::sync::watch;
 
+use crate::client_memory::ClientMemory;
 use crate::clock;
 use crate::front::member_loads::MemberLoads;
 use crate::host_table::HostTable;
@@ -29,6 +30,7 @@
 use crate::model::outcome::failure;
 use crate::platform::Platform;
 use crate::policy::bounds::Bounds;
+use crate::policy::connection_count::ConnectionCount;
 use crate::policy::homes;
 use crate::policy::store_admission::StoreAdmission;
 use crate::primary_use::PrimaryUse;
@@ -77,6 +79,10 @@
     pub reports: ViewReports,
     pub admission: RefCell<StoreAdmission>,
     pub stage: watch::Sender<ShutdownStage>,
+    /// Bytes held for clients.
+    pub memory: Rc<ClientMemory>,
+    /// Open connections of clients.
+    pub connections: RefCell<ConnectionCount>,
     pub sessions: Cell<u32>,
     /// Number of client statements that are not answered yet.
     pub running: Rc<Cell<u32>>,
@@ -95,6 +101,8 @@
     pub fn new(settings: Settings, store: P::Store) -> Rc<Self> {
         let incarnation: Incarnation = rand::random();
         let host = settings.host.clone();
+        let limits = settings.clients;
+        let memory = ClientMemory::new(limits.max_bytes);
         Rc::new(Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -112,6 +120,11 @@
             reports: ViewReports::default(),
             admission: RefCell::default(),
             stage: watch::channel(ShutdownStage::default()).0,
+            memory,
+            connections: RefCell::new(ConnectionCount::new(
+                limits.max_connections,
+                limits.max_starting,
+            )),
             sessions: Cell::new(0),
             running: Rc::default(),
             channels: Cell::new(0),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use magnoliahatch_core::ids::HostId;
 
 use crate::policy::bounds::Bounds;
+use crate::policy::client_limits::ClientLimits;
 
 /// Settings of one gateway process.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,6 +29,7 @@
     /// Whether the whole system starts for the first time, as opposed to a restart.
     pub first_start: bool,
     pub bounds: Bounds,
+    pub clients: ClientLimits,
 }
 
 impl Settings {
