Bound what statements and answers of other hosts hold

A host also holds statements that clients of other hosts send, and answers for them: queues of 2048 frames of up to 4 MiB for each connection between hosts, and a buffer that was allocated for the announced length of a frame and kept afterwards. With 48 clients that send largest messages, a home grew from 20 to 60.6 and 78.5 MB.

Frames above 4 KiB now count in the memory for clients while they are read and while they wait to be sent. A statement or an outcome for which there is no memory is skipped as it arrives. Its id is in the first bytes of the frame, so its sender is told at once: a statement was not run (Busy, as after a full queue at the member), an outcome is lost. Nothing else is refused: views, tokens and promotions keep the fleet running. Holding back the whole connection instead would delay pings, and other hosts would take this one for silent after 0.9 s.

The messages themselves are unchanged, so the protocol version stays.

--- a/crates/gateway/src/front/remote.rs
+++ b/crates/gateway/src/front/remote.rs
@@ -42,7 +42,10 @@
             let answer = node.mesh.call(&host, call, limit).await;
             sent |= !matches!(
                 answer,
-                Err(CallError::Unreachable | CallError::Ended | CallError::TooLarge)
+                Err(CallError::Unreachable
+                    | CallError::Ended
+                    | CallError::Memory
+                    | CallError::TooLarge)
             );
             let outcome = outcome(answer, durable);
             let failed = outcome.is_err();
@@ -80,6 +83,7 @@
         Err(CallError::Unreachable | CallError::Ended) => {
             Err(failure(ErrorCode::Busy, Cause::Peer))
         }
+        Err(CallError::Memory) => Err(failure(ErrorCode::Busy, Cause::Queue)),
         Err(CallError::TooLarge) => Err(failure(ErrorCode::TooLarge, Cause::Peer)),
         Ok(_) | Err(CallError::Lost) if durable => Err(failure(ErrorCode::Unknown, Cause::Peer)),
         Ok(_) | Err(CallError::Lost) => Err(failure(ErrorCode::Aborted, Cause::Peer)),
--- a/crates/gateway/src/mesh/call_error.rs
+++ b/crates/gateway/src/mesh/call_error.rs
@@ -14,6 +14,9 @@
     /// The call was not sent, and others on the connection go on.
     #[error("the call is too large for a frame")]
     TooLarge,
+    /// The call was not sent: the memory for clients is short.
+    #[error("there is no memory for the call")]
+    Memory,
     /// The call was sent, but it is unknown whether it was carried out.
     #[error("the connection ended, or the time limit passed, before the answer")]
     Lost,
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -24,6 +24,10 @@
 /// Version of these messages. Connections of hosts with another version are refused.
 pub const PROTOCOL_VERSION: u32 = 3;
 
+/// Number of `Call::Run` and of `Response::Outcome` among their variants. These messages may be refused
+/// when the memory for clients is short; all others are needed to run the fleet.
+pub const REFUSABLE_VARIANT: u32 = 1;
+
 /// The first message that each side of a connection sends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/gateway/src/mesh/link.rs
+++ b/crates/gateway/src/mesh/link.rs
@@ -1,6 +1,9 @@
 //! Length-delimited frames over a TCP connection.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures::SinkExt;
 use futures::StreamExt;
 use serde::Serialize;
@@ -8,20 +11,31 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::mpsc;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::client_memory::ClientMemory;
+use crate::held_bytes::HeldBytes;
+use crate::mesh::frame::CallId;
+use crate::mesh::frame_codec::FrameCodec;
+use crate::mesh::frame_codec::Incoming;
+use crate::mesh::frame_codec::LARGE_FRAME_BYTES;
+use crate::mesh::frame_codec::MAX_FRAME_BYTES;
+use crate::mesh::frame_queue::FrameReceiver;
 use crate::wire_error::WireError;
 
-/// Largest frame. The largest content is a configuration with many routes, of which the store holds
-/// at most 1 MiB.
-const MAX_FRAME_BYTES: usize = 4 << 20;
+/// A received message, and what it holds of the memory for clients.
+#[derive(Debug)]
+pub enum Received<T> {
+    Message(T, Option<HeldBytes>),
+    /// There was no memory for the message with this id.
+    Refused(CallId),
+}
 
 /// The receiving half of a connection.
 pub struct LinkReader {
-    frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    frames: FramedRead<OwnedReadHalf, FrameCodec>,
 }
 
 /// The sending half of a connection.
@@ -30,33 +44,40 @@
 }
 
 /// Splits a connection into its receiving and sending half.
-pub fn split(stream: TcpStream) -> (LinkReader, LinkWriter) {
+pub fn split(stream: TcpStream, memory: Rc<ClientMemory>) -> (LinkReader, LinkWriter) {
     let (read, write) = stream.into_split();
     let reader = LinkReader {
-        frames: FramedRead::new(read, codec()),
+        frames: FramedRead::new(read, FrameCodec::new(memory)),
     };
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
     let writer = LinkWriter {
-        frames: FramedWrite::new(write, codec()),
+        frames: FramedWrite::new(write, codec),
     };
     (reader, writer)
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
-}
-
 impl LinkReader {
-    /// Receives the next frame, or `None` at the end of the connection.
-    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, WireError> {
-        let Some(frame) = self.frames.next().await.transpose()? else {
-            return Ok(None);
+    /// Receives the next message, or `None` at the end of the connection.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<Received<T>>, WireError> {
+        let (frame, held) = match self.frames.next().await.transpose()? {
+            None => return Ok(None),
+            Some(Incoming::Refused(id)) => return Ok(Some(Received::Refused(id))),
+            Some(Incoming::Frame(frame, held)) => (frame, held),
         };
         let body = postcard::from_bytes(&frame);
-        body.map(Some)
+        body.map(|body| Some(Received::Message(body, held)))
             .map_err(|_| WireError::Malformed("a frame does not match the expected message"))
     }
+
+    /// Receives the next message where none may be refused, such as the first one of a connection.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, WireError> {
+        Ok(match self.receive().await? {
+            Some(Received::Message(body, _)) => Some(body),
+            Some(Received::Refused(_)) | None => None,
+        })
+    }
 }
 
 impl LinkWriter {
@@ -67,13 +88,19 @@
 
     /// Sends the queued frames until the queue closes. Frames that are queued together are flushed
     /// together.
-    pub async fn send_all(&mut self, queue: &mut mpsc::Receiver<Bytes>) -> Result<(), WireError> {
-        while let Some(frame) = queue.recv().await {
+    pub async fn send_all(&mut self, queue: &mut FrameReceiver) -> Result<(), WireError> {
+        while let Some(frame) = queue.receive().await {
+            let mut length = frame.len() as u64;
             self.frames.feed(frame).await?;
-            while let Ok(frame) = queue.try_recv() {
+            while let Some(frame) = queue.try_receive() {
+                length += frame.len() as u64;
                 self.frames.feed(frame).await?;
             }
             SinkExt::<Bytes>::flush(&mut self.frames).await?;
+            if self.frames.write_buffer().capacity() > LARGE_FRAME_BYTES {
+                *self.frames.write_buffer_mut() = BytesMut::new();
+            }
+            queue.on_sent(length);
         }
         Ok(())
     }
--- a/crates/gateway/src/mesh/mesh_handle.rs
+++ b/crates/gateway/src/mesh/mesh_handle.rs
@@ -9,9 +9,9 @@
 
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::Incarnation;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::client_memory::ClientMemory;
 use crate::clock;
 use crate::mesh::call_error::CallError;
 use crate::mesh::frame::Call;
@@ -20,7 +20,9 @@
 use crate::mesh::frame::PROTOCOL_VERSION;
 use crate::mesh::frame::Response;
 use crate::mesh::frame::WithId;
+use crate::mesh::frame_queue::frame_queue;
 use crate::mesh::link;
+use crate::mesh::link::Received;
 use crate::mesh::peer_connection::PeerConnection;
 use crate::socket;
 
@@ -50,6 +52,7 @@
 pub struct MeshHandle {
     host: HostId,
     own_incarnation: Incarnation,
+    memory: Rc<ClientMemory>,
     peers: RefCell<BTreeMap<HostId, Peer>>,
     next_id: Cell<CallId>,
     /// Number of open connections.
@@ -59,10 +62,11 @@
 }
 
 impl MeshHandle {
-    pub fn open(host: HostId, own_incarnation: Incarnation) -> Rc<Self> {
+    pub fn open(host: HostId, own_incarnation: Incarnation, memory: Rc<ClientMemory>) -> Rc<Self> {
         Rc::new(Self {
             host,
             own_incarnation,
+            memory,
             peers: RefCell::default(),
             next_id: Cell::new(1),
             connections: Cell::new(0),
@@ -216,7 +220,7 @@
         // A refused connection does not show that the process ended: a firewall may refuse it.
         let stream = socket::connect(address, CONNECT_TIMEOUT).await;
         let stream = stream.map_err(|_| CallError::Unreachable)?;
-        let (mut reader, mut writer) = link::split(stream);
+        let (mut reader, mut writer) = link::split(stream, self.memory.clone());
         let hello = Hello {
             format: PROTOCOL_VERSION,
             host: self.host.clone(),
@@ -233,7 +237,7 @@
         if incarnation.is_some_and(|i| i != answer.incarnation) {
             return Err(CallError::Ended);
         }
-        let (queue, mut outgoing) = mpsc::channel(QUEUE_LENGTH);
+        let (queue, mut outgoing) = frame_queue(&self.memory, QUEUE_LENGTH);
         let connection = Rc::new(PeerConnection::new(queue));
         let shared = Rc::downgrade(&connection);
         let mesh = self.clone();
@@ -241,11 +245,14 @@
         let pinged = connection.clone();
         tokio::task::spawn_local(async move {
             let receive = async {
-                while let Ok(Some(answer)) = reader.next::<WithId<Response>>().await {
+                while let Ok(Some(received)) = reader.receive::<WithId<Response>>().await {
                     let Some(connection) = shared.upgrade() else {
                         break;
                     };
-                    connection.on_answer(answer);
+                    match received {
+                        Received::Message(answer, _) => connection.on_answer(answer),
+                        Received::Refused(id) => connection.on_refused(id),
+                    }
                 }
             };
             let pings = pinged.ping_until_failure(|| mesh.next_id(), || mesh.connections.get());
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod call_error;
 pub mod frame;
+pub mod frame_codec;
+pub mod frame_queue;
 pub mod link;
 pub mod mesh_handle;
 pub mod peer_connection;
--- a/crates/gateway/src/mesh/peer_connection.rs
+++ b/crates/gateway/src/mesh/peer_connection.rs
@@ -5,9 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::Notify;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::clock;
@@ -16,6 +14,8 @@
 use crate::mesh::frame::CallId;
 use crate::mesh::frame::Response;
 use crate::mesh::frame::WithId;
+use crate::mesh::frame_queue::FrameSender;
+use crate::mesh::frame_queue::QueueError;
 use crate::mesh::link;
 use crate::policy::ping_schedule;
 
@@ -26,7 +26,7 @@
 /// The calling side of an open connection.
 #[derive(Debug)]
 pub struct PeerConnection {
-    queue: mpsc::Sender<Bytes>,
+    queue: FrameSender,
     pending: RefCell<HashMap<CallId, oneshot::Sender<Response>>>,
     /// When the last frame of the peer arrived.
     last_heard: Cell<Duration>,
@@ -36,7 +36,7 @@
 
 impl PeerConnection {
     /// Creates the calling side; frames to send are put into `queue`.
-    pub fn new(queue: mpsc::Sender<Bytes>) -> Self {
+    pub fn new(queue: FrameSender) -> Self {
         Self {
             queue,
             pending: RefCell::default(),
@@ -47,9 +47,7 @@
 
     /// Queues a message that has no answer.
     pub fn notify(&self, id: CallId, body: Call) -> Result<(), CallError> {
-        let frame = encode(id, body)?;
-        let sent = self.queue.try_send(frame);
-        sent.map_err(|_| CallError::Unreachable)
+        self.enqueue(id, body)
     }
 
     /// Sends a call and waits for the answer. If nothing arrives from the peer for some time, the
@@ -110,6 +108,13 @@
         }
     }
 
+    /// Fails a call whose answer was skipped for lack of memory.
+    pub fn on_refused(&self, id: CallId) {
+        self.last_heard.set(clock::now());
+        // Dropping the sender ends the wait.
+        self.pending.borrow_mut().remove(&id);
+    }
+
     /// Fails all calls that wait for an answer.
     pub fn fail_pending(&self) {
         // Dropping the senders ends the waits.
@@ -117,13 +122,9 @@
     }
 
     fn send(&self, id: CallId, body: Call) -> Result<oneshot::Receiver<Response>, CallError> {
-        let frame = encode(id, body)?;
         let (sender, receiver) = oneshot::channel();
+        self.enqueue(id, body)?;
         self.pending.borrow_mut().insert(id, sender);
-        if self.queue.try_send(frame).is_err() {
-            self.pending.borrow_mut().remove(&id);
-            return Err(CallError::Unreachable);
-        }
         Ok(receiver)
     }
 
@@ -138,8 +139,15 @@
             _ => Err(CallError::Lost),
         }
     }
-}
 
-fn encode(id: CallId, body: Call) -> Result<Bytes, CallError> {
-    link::encode(&WithId { id, body }).map_err(|_| CallError::TooLarge)
+    /// Queues a call. Only statements of clients are refused when the memory for clients is short.
+    fn enqueue(&self, id: CallId, body: Call) -> Result<(), CallError> {
+        let refusable = matches!(body, Call::Run { .. });
+        let frame = link::encode(&WithId { id, body }).map_err(|_| CallError::TooLarge)?;
+        let sent = self.queue.send(frame, refusable);
+        sent.map_err(|error| match error {
+            QueueError::Closed => CallError::Unreachable,
+            QueueError::Memory => CallError::Memory,
+        })
+    }
 }
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 
+use crate::held_bytes::HeldBytes;
 use crate::member::channel;
 use crate::member::channel_handle;
 use crate::member::channel_handle::ChannelHandle;
@@ -20,11 +20,16 @@
 use crate::mesh::frame::PROTOCOL_VERSION;
 use crate::mesh::frame::Response;
 use crate::mesh::frame::WithId;
+use crate::mesh::frame_queue::FrameSender;
+use crate::mesh::frame_queue::QueueError;
+use crate::mesh::frame_queue::frame_queue;
 use crate::mesh::link;
+use crate::mesh::link::Received;
 use crate::model::error_code::ErrorCode;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
+use crate::model::refusal::Refusal;
 use crate::node::Node;
 use crate::node::QUIESCE_TIMEOUT;
 use crate::platform::Platform;
@@ -61,7 +66,7 @@
     stream: TcpStream,
 ) -> Result<(), WireError> {
     socket::set_options(&stream)?;
-    let (mut reader, mut writer) = link::split(stream);
+    let (mut reader, mut writer) = link::split(stream, node.memory.clone());
     let Some(hello) = reader.next::<Hello>().await? else {
         return Ok(());
     };
@@ -76,11 +81,16 @@
         incarnation: node.incarnation,
     };
     writer.send(&own_hello).await?;
-    let (answers, mut outgoing) = mpsc::channel(QUEUE_LENGTH);
+    let (answers, mut outgoing) = frame_queue(&node.memory, QUEUE_LENGTH);
     let receive = async move {
         let mut channels: HashMap<ChannelId, ChannelHandle> = HashMap::new();
-        while let Some(call) = reader.next::<WithId<Call>>().await? {
-            on_call(&node, &hello.host, &mut channels, call, &answers);
+        while let Some(received) = reader.receive::<WithId<Call>>().await? {
+            match received {
+                Received::Message(call, held) => {
+                    on_call(&node, &hello.host, &mut channels, (call, held), &answers);
+                }
+                Received::Refused(id) => on_refused(&node, &hello.host, id, &answers),
+            }
         }
         Ok::<(), WireError>(())
     };
@@ -90,12 +100,26 @@
     }
 }
 
+/// Answers a statement for which there was no memory. Nothing of it has run.
+fn on_refused<P: Platform>(node: &Rc<Node<P>>, from: &str, id: CallId, answers: &FrameSender) {
+    node.metrics.count_refusal(Refusal::Forwarded);
+    let held = node.memory.used();
+    tracing::info!(
+        event = 693,
+        from,
+        held,
+        "no memory for a statement of a host"
+    );
+    let refused = Err(failure(ErrorCode::Busy, Cause::Queue));
+    send_answer(answers, id, Response::Outcome(refused));
+}
+
 fn on_call<P: Platform>(
     node: &Rc<Node<P>>,
     from: &str,
     channels: &mut HashMap<ChannelId, ChannelHandle>,
-    call: WithId<Call>,
-    answers: &mpsc::Sender<Bytes>,
+    (call, held): (WithId<Call>, Option<HeldBytes>),
+    answers: &FrameSender,
 ) {
     let id = call.id;
     match call.body {
@@ -119,6 +143,7 @@
                     Some(receiver) => channel_handle::outcome(receiver).await,
                     None => Err(failure(ErrorCode::Aborted, Cause::Idle)),
                 };
+                drop(held);
                 send_outcome(&answers, id, outcome, writes);
             });
         }
@@ -174,11 +199,22 @@
     }
 }
 
-/// Answers a statement. If its answer is too large for a frame, the caller is told only that.
-fn send_outcome(answers: &mpsc::Sender<Bytes>, id: CallId, outcome: Outcome, writes: bool) {
+/// Answers a statement. If its answer is too large for a frame, or there is no memory for it, the caller
+/// is told only that.
+fn send_outcome(answers: &FrameSender, id: CallId, outcome: Outcome, writes: bool) {
     let body = Response::Outcome(outcome);
     match link::encode(&WithId { id, body }) {
-        Ok(frame) => send_frame(answers, frame),
+        Ok(frame) => {
+            if !send_frame(answers, frame, true) {
+                let code = if writes {
+                    ErrorCode::Unknown
+                } else {
+                    ErrorCode::Aborted
+                };
+                let refused = Err(failure(code, Cause::Reply));
+                send_answer(answers, id, Response::Outcome(refused));
+            }
+        }
         Err(error) => {
             tracing::warn!(event = 625, %error, "answer of a member cannot be passed on to a host");
             let code = if writes {
@@ -192,20 +228,31 @@
     }
 }
 
-fn send_answer(answers: &mpsc::Sender<Bytes>, id: CallId, body: Response) {
+fn send_answer(answers: &FrameSender, id: CallId, body: Response) {
     match link::encode(&WithId { id, body }) {
-        Ok(frame) => send_frame(answers, frame),
+        Ok(frame) => {
+            send_frame(answers, frame, false);
+        }
         Err(error) => {
             tracing::warn!(event = 626, %error, "answer to a host was not sent");
         }
     }
 }
 
-fn send_frame(answers: &mpsc::Sender<Bytes>, frame: Bytes) {
-    if answers.try_send(frame).is_err() {
-        tracing::debug!(
-            event = 615,
-            "dropped an answer to a host: the connection ended or its queue is full"
-        );
+/// Queues a frame. Returns false if there is no memory for it.
+fn send_frame(answers: &FrameSender, frame: Bytes, refusable: bool) -> bool {
+    match answers.send(frame, refusable) {
+        Ok(()) => true,
+        Err(QueueError::Closed) => {
+            tracing::debug!(
+                event = 615,
+                "dropped an answer to a host: the connection ended or its queue is full"
+            );
+            true
+        }
+        Err(QueueError::Memory) => {
+            tracing::info!(event = 694, "no memory for an answer to a host");
+            false
+        }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -111,7 +111,7 @@
             store,
             view: RefCell::default(),
             changed: watch::channel(0).0,
-            mesh: MeshHandle::open(host, incarnation),
+            mesh: MeshHandle::open(host, incarnation, memory.clone()),
             pools: PoolTable::default(),
             quota: QuotaTokens::default(),
             metrics: Metrics::open(),
