--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use percent_encoding::CONTROLS;
 use percent_encoding::utf8_percent_encode;
 
+use crate::model::client_refusal::ClientRefusal;
 use crate::model::outcome::Failure;
 use crate::policy::refusal::Refusal;
 
@@ -231,6 +232,13 @@
             .count_with_tags("admission_wrong_refusals", count);
         metric.send();
     }
+
+    /// Counts a client that was refused or closed because of a limit.
+    pub fn count_client_refusal(&self, cause: ClientRefusal) {
+        let cause = format!("{cause:?}");
+        let metric = self.client.count_with_tags("client_refusals", 1);
+        metric.with_tag("cause", &cause).send();
+    }
 }
 
 fn micros(time: Duration) -> u64 {
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -1,5 +1,6 @@
 //! Data types shared by the engine and its protocol and platform adapters.
 
+pub mod client_refusal;
 pub mod command;
 pub mod configuration;
 pub mod duty_record;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use magnoliahatch_core::position::LogPosition;
 use tokio::sync::watch;
 
+use crate::client_memory::ClientMemory;
 use crate::clock;
 use crate::front::member_loads::MemberLoads;
 use crate::host_table::HostTable;
@@ -29,6 +30,7 @@
 use crate::model::outcome::failure;
 use crate::platform::Platform;
 use crate::policy::bounds::Bounds;
+use crate::policy::connection_count::ConnectionCount;
 use crate::policy::homes;
 use crate::policy::retry_budgets::RetryBudgets;
 use crate::policy::store_admission::StoreAdmission;
@@ -82,6 +84,10 @@
     pub reports: ViewReports,
     pub admission: RefCell<StoreAdmission>,
     pub stage: watch::Sender<ShutdownStage>,
+    /// Bytes held for clients.
+    pub memory: Rc<ClientMemory>,
+    /// Open connections of clients.
+    pub connections: RefCell<ConnectionCount>,
     pub sessions: Cell<u32>,
     /// Number of client statements that are not answered yet.
     pub running: Rc<Cell<u32>>,
@@ -103,6 +109,8 @@
         let usage = settings
             .usage
             .map(|usage| UsageState::new(host.clone(), incarnation, usage));
+        let limits = settings.clients;
+        let memory = ClientMemory::new(limits.max_bytes);
         Rc::new(Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -111,7 +119,7 @@
             store,
             view: RefCell::default(),
             changed: watch::channel(0).0,
-            mesh: MeshHandle::open(host, incarnation),
+            mesh: MeshHandle::open(host, incarnation, memory.clone()),
             pools: PoolTable::default(),
             quota: QuotaTokens::default(),
             metrics: Metrics::open(),
@@ -122,6 +130,11 @@
             reports: ViewReports::default(),
             admission: RefCell::default(),
             stage: watch::channel(ShutdownStage::default()).0,
+            memory,
+            connections: RefCell::new(ConnectionCount::new(
+                limits.max_connections,
+                limits.max_starting,
+            )),
             sessions: Cell::new(0),
             running: Rc::default(),
             channels: Cell::new(0),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use magnoliahatch_core::ids::HostId;
 
 use crate::policy::bounds::Bounds;
+use crate::policy::client_limits::ClientLimits;
 use crate::policy::usage_settings::UsageSettings;
 
 /// Settings of one gateway process.
@@ -31,6 +32,7 @@
     pub bounds: Bounds,
     /// `None` if the deployment asks for no usage reports.
     pub usage: Option<UsageSettings>,
+    pub clients: ClientLimits,
 }
 
 impl Settings {
