Return successful retries to the budget

What: policy/retry_budget.rs replaces core's RetryBudget in the gateway. It has the same constants, and returns a retry that the member answered, so that only failed retries use it up. The first retry is free only if nothing was sent: Aborted, which also stands for a read without an answer, is charged. Budgets that are not used are removed when a new one is added.

The code before retries were limited served them.

Event catalogue test green.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -134,7 +134,7 @@
             }
             return Err(failure(ErrorCode::Busy, Cause::Peer));
         };
-        charge_retry(node, &statement, &mut attempted, &member)?;
+        let charged = charge_retry(node, &statement, &mut attempted, &member)?;
         let target = Target {
             service: statement.route.service.clone(),
             member: member.clone(),
@@ -154,9 +154,8 @@
         attempted.count += 1;
         match outcome {
             Ok(answer) => {
-                node.retries
-                    .borrow_mut()
-                    .on_success(&member, statement.organisation);
+                let mut budgets = node.retries.borrow_mut();
+                budgets.on_success(&member, statement.organisation, charged);
                 let (id, attempts) = (request_id(&statement.job.id), attempted.count);
                 if logs::sampled(&statement.job.id) {
                     tracing::info!(event = 644, %id, member, host, attempts, "member answered");
@@ -192,21 +191,21 @@
     }
 }
 
-/// Charges the next attempt to the budget for retries, unless it is free. Fails with the last failure
-/// if the budget is exhausted.
+/// Charges the next attempt to the budget for retries, unless it is free. Returns whether it was
+/// charged. Fails with the last failure if the budget is exhausted.
 fn charge_retry<P: Platform>(
     node: &Rc<Node<P>>,
     statement: &FirstStatement<'_>,
     attempted: &mut Attempts,
     member: &str,
-) -> Result<(), Failure> {
+) -> Result<bool, Failure> {
     let Some(error) = attempted.charged.take() else {
-        return Ok(());
+        return Ok(false);
     };
     let organisation = statement.organisation;
     let mut budgets = node.retries.borrow_mut();
     if budgets.on_retry(member, organisation, clock::now()) {
-        return Ok(());
+        return Ok(true);
     }
     let (id, code, cause) = (request_id(&statement.job.id), error.code, error.cause);
     tracing::info!(event = 732, %id, member, organisation, ?code, ?cause, "not retried: budget exhausted");
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -20,6 +20,7 @@
 pub mod requesting_hosts;
 pub mod reserved_bucket;
 pub mod restart;
+pub mod retry_budget;
 pub mod retry_budgets;
 pub mod start_plan;
 pub mod store_admission;
--- a/crates/gateway/src/policy/retry_budgets.rs
+++ b/crates/gateway/src/policy/retry_budgets.rs
@@ -5,51 +5,45 @@
 
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::OrganisationId;
-use magnoliahatch_core::retry_budget::RetryBudget;
 
 use crate::model::error_code::ErrorCode;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
+use crate::policy::retry_budget::RetryBudget;
 
 /// A budget without a retry for this time is removed; a new one starts full. In this time the fixed
 /// rate of a budget yields six times what it can hold.
 const REMOVE_AFTER: Duration = Duration::from_secs(60);
 
-#[derive(Debug)]
-struct Entry {
-    budget: RetryBudget,
-    last_retry: Duration,
-}
-
 /// Budgets for the retries of each organisation at each member. Only those of organisations with
 /// recent retries are kept.
 #[derive(Debug, Default)]
 pub struct RetryBudgets {
-    members: BTreeMap<MemberId, BTreeMap<OrganisationId, Entry>>,
+    members: BTreeMap<MemberId, BTreeMap<OrganisationId, RetryBudget>>,
 }
 
 impl RetryBudgets {
-    /// Records that a member answered an organisation's statement, which allows a fraction of a
+    /// Records that a member answered an organisation's statement, and whether this was a charged
     /// retry.
-    pub fn on_success(&mut self, member: &str, organisation: &str) {
+    pub fn on_success(&mut self, member: &str, organisation: &str, retry: bool) {
         let organisations = self.members.get_mut(member);
-        if let Some(entry) = organisations.and_then(|o| o.get_mut(organisation)) {
-            entry.budget.on_attempt();
+        if let Some(budget) = organisations.and_then(|o| o.get_mut(organisation)) {
+            budget.on_success(retry);
         }
     }
 
     /// Charges a retry at a member; false if the organisation's budget there is exhausted.
     pub fn on_retry(&mut self, member: &str, organisation: &str, now: Duration) -> bool {
+        let organisations = self.members.get_mut(member);
+        if let Some(budget) = organisations.and_then(|o| o.get_mut(organisation)) {
+            return budget.on_retry(now);
+        }
         self.remove_unused(now);
+        let mut budget = RetryBudget::new(now);
+        let allowed = budget.on_retry(now);
         let organisations = self.members.entry(member.to_owned()).or_default();
-        let entry = organisations
-            .entry(organisation.to_owned())
-            .or_insert_with(|| Entry {
-                budget: RetryBudget::new(now),
-                last_retry: now,
-            });
-        entry.last_retry = now;
-        entry.budget.on_retry(now)
+        organisations.insert(organisation.to_owned(), budget);
+        allowed
     }
 
     /// Number of budgets in memory.
@@ -59,7 +53,7 @@
 
     fn remove_unused(&mut self, now: Duration) {
         for organisations in self.members.values_mut() {
-            organisations.retain(|_, e| now.saturating_sub(e.last_retry) < REMOVE_AFTER);
+            organisations.retain(|_, b| now.saturating_sub(b.updated_at()) < REMOVE_AFTER);
         }
         self.members
             .retain(|_, organisations| !organisations.is_empty());
@@ -74,8 +68,9 @@
         // The host refused before anything was sent, or a replica without running the statement.
         // The retry waits for the new primary, or goes to a member that is not tried yet.
         (_, Cause::Primary) | (ErrorCode::Lagging, _) => true,
-        // The member refused because of its load, so the others may be loaded as well.
-        (ErrorCode::Busy, Cause::Member) => false,
+        // The member refused because of its load, so the others may be loaded as well. `Aborted` also
+        // stands for reads that were sent and have no answer.
+        (ErrorCode::Busy, Cause::Member) | (ErrorCode::Aborted, _) => false,
         (code, _) => code.not_run() && attempts <= 1,
     }
 }
