--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -34,6 +34,7 @@
 pub mod requesting_hosts;
 pub mod reserved_bucket;
 pub mod restart;
+pub mod retry_budget;
 pub mod retry_budgets;
 pub mod sender_clock;
 pub mod service_time;
