Rank the hosts of the usage duty once per list of hosts

The ranking was computed anew in each step, about 14 times a second on each host; with 1,000 hosts that is some ms of processor time a second.

--- a/crates/gateway/src/usage/holder.rs
+++ b/crates/gateway/src/usage/holder.rs
@@ -24,7 +24,6 @@
 use crate::report_error::ReportError;
 use crate::store_error::StoreError;
 use crate::usage::reference_clocks;
-use crate::usage::usage_state;
 use crate::usage::usage_state::UsageState;
 
 /// Interval of the steps.
@@ -66,7 +65,7 @@
     fn next_step(&self) -> DutyStep {
         let (node, usage) = (self.node, self.usage);
         let now = clock::now();
-        let mut aggregators = usage_state::aggregators(node).into_iter();
+        let mut aggregators = usage.aggregators(node).into_iter();
         let rank = aggregators.position(|host| host == node.settings.host);
         let duty = usage.duty.borrow();
         if rank.is_some() || duty.is_holder() {
@@ -93,7 +92,10 @@
         let now = clock::now();
         let mut clocks = self.usage.clocks.borrow_mut();
         clocks.on_clock(&self.node.settings.host, clock::wall(), now);
-        let (count, required) = (clocks.count(now), reference_clocks::required(self.node));
+        let (count, required) = (
+            clocks.count(now),
+            reference_clocks::required(self.usage, self.node),
+        );
         let missing = count < required;
         if self.lacks_clocks.replace(missing) != missing {
             tracing::warn!(
--- a/crates/gateway/src/usage/reference_clocks.rs
+++ b/crates/gateway/src/usage/reference_clocks.rs
@@ -3,22 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use magnoliahatch_core::ids::HostId;
-
 use crate::clock;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::usage::usage_state;
 use crate::usage::usage_state::UsageState;
 
 /// Interval at which the clocks are read.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 /// Time limit of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Number of hosts whose clocks are compared, with this one. Three of them may be wrong.
-const MAX_CLOCKS: usize = 7;
 
 /// Reads the clocks until the process ends.
 pub async fn run<P: Platform>(node: Rc<Node<P>>) {
@@ -26,8 +21,8 @@
         if let Some(usage) = &node.usage
             && usage.is_aggregator()
         {
-            let others = usage_state::ranking(&node, MAX_CLOCKS).into_iter();
-            let others = others.filter(|host| *host != node.settings.host);
+            let ranking = usage.ranking(&node);
+            let others = ranking.iter().filter(|h| **h != node.settings.host);
             let calls = others.map(|host| read_clock(&node, usage, host));
             futures::future::join_all(calls).await;
         }
@@ -35,14 +30,14 @@
     }
 }
 
-async fn read_clock<P: Platform>(node: &Rc<Node<P>>, usage: &UsageState, host: HostId) {
+async fn read_clock<P: Platform>(node: &Rc<Node<P>>, usage: &UsageState, host: &str) {
     let sent = clock::now();
-    let answer = node.mesh.call(&host, Call::WallClock, CALL_TIMEOUT).await;
+    let answer = node.mesh.call(host, Call::WallClock, CALL_TIMEOUT).await;
     let now = clock::now();
     // A host that does not answer is left out; the log has the loss of its connection.
     if let Ok(Response::WallClock { wall, age }) = answer {
         let read = sent + now.saturating_sub(sent) / 2;
-        usage.clocks.borrow_mut().on_clock(&host, wall, read);
+        usage.clocks.borrow_mut().on_clock(host, wall, read);
         if let Some(windows) = usage.windows.borrow_mut().as_mut() {
             windows.on_process(now.saturating_sub(age));
         }
@@ -51,6 +46,6 @@
 
 /// Number of clocks that must have been read to know the time: more than half of those that are
 /// compared. A host that is cut off from most others reports nothing.
-pub fn required<P: Platform>(node: &Node<P>) -> usize {
-    usage_state::ranking(node, MAX_CLOCKS).len() / 2 + 1
+pub fn required<P: Platform>(usage: &UsageState, node: &Node<P>) -> usize {
+    usage.ranking(node).len() / 2 + 1
 }
--- a/crates/gateway/src/usage/sender.rs
+++ b/crates/gateway/src/usage/sender.rs
@@ -15,7 +15,6 @@
 use crate::platform::Platform;
 use crate::policy::usage_counts::Aggregator;
 use crate::usage::receiver;
-use crate::usage::usage_state;
 
 /// Interval at which counts are sent. A host that is killed takes the counts of one interval with it,
 /// which is 5 % of a window of 5 s.
@@ -62,7 +61,7 @@
         node.metrics.count_usage("usage_lost_statements", lost);
         tracing::warn!(event = 707, lost, "no aggregator took these counts");
     }
-    let mut receivers = usage_state::aggregators(node);
+    let mut receivers = usage.aggregators(node);
     if let Some((_, holder)) = &*usage.holder.borrow()
         && !receivers.contains(holder)
     {
--- a/crates/gateway/src/usage/usage_state.rs
+++ b/crates/gateway/src/usage/usage_state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::HostId;
@@ -10,6 +11,7 @@
 use magnoliahatch_core::rendezvous;
 
 use crate::clock;
+use crate::host_table::HostTable;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::policy::clock_median::ClockMedian;
@@ -22,6 +24,11 @@
 const DUTY: &str = "usage";
 /// Number of hosts that add the counts up.
 const AGGREGATORS: usize = 2;
+/// Number of hosts whose clocks are compared. Three of them may be wrong.
+const RANKED_HOSTS: usize = 7;
+
+/// The highest ranks for the duty, with the table of hosts that they were computed from.
+type CachedRanking = (Rc<HostTable>, Rc<Vec<HostId>>);
 
 /// Counts of this host, and what it holds as an aggregator.
 #[derive(Debug)]
@@ -36,6 +43,7 @@
     pub duty: RefCell<UsageDuty>,
     /// The host that sends the reports, as an aggregator named it, and the revision of its record.
     pub holder: RefCell<Option<(Revision, HostId)>>,
+    ranking: RefCell<Option<CachedRanking>>,
 }
 
 impl UsageState {
@@ -48,6 +56,7 @@
             last_use: Cell::default(),
             duty: RefCell::new(UsageDuty::new(host, incarnation, settings)),
             holder: RefCell::default(),
+            ranking: RefCell::default(),
         }
     }
 
@@ -80,16 +89,25 @@
             UsageWindows::new(self.settings.window, started, now)
         });
     }
-}
 
-/// The hosts that add the counts up, the first one in the order of preference first.
-pub fn aggregators<P: Platform>(node: &Node<P>) -> Vec<HostId> {
-    ranking(node, AGGREGATORS)
-}
+    /// The hosts that add the counts up, in the order of preference.
+    pub fn aggregators<P: Platform>(&self, node: &Node<P>) -> Vec<HostId> {
+        let ranking = self.ranking(node);
+        ranking.iter().take(AGGREGATORS).cloned().collect()
+    }
 
-/// The hosts with the highest ranks for the duty.
-pub fn ranking<P: Platform>(node: &Node<P>, count: usize) -> Vec<HostId> {
-    let hosts = node.hosts();
-    let names = hosts.registered_duty.iter().map(String::as_str);
-    rendezvous::ranking(DUTY, names, count)
+    /// The hosts with the highest ranks for the duty, whose clocks are compared.
+    pub fn ranking<P: Platform>(&self, node: &Node<P>) -> Rc<Vec<HostId>> {
+        let hosts = node.hosts();
+        let mut cached = self.ranking.borrow_mut();
+        if let Some((table, ranking)) = &*cached
+            && Rc::ptr_eq(table, &hosts)
+        {
+            return ranking.clone();
+        }
+        let names = hosts.registered_duty.iter().map(String::as_str);
+        let ranking = Rc::new(rendezvous::ranking(DUTY, names, RANKED_HOSTS));
+        *cached = Some((hosts, ranking.clone()));
+        ranking
+    }
 }
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -40,3 +40,22 @@
         assert_eq!(lines, expected, "{name:?}");
     }
 }
+
+/// Guards against a value that is added up although it is a state, and against a count of 0 that makes
+/// a series.
+#[test]
+fn values_of_usage_reports_replace_each_other_and_counts_add_up() {
+    let metrics = Metrics::open();
+    metrics.set_usage("usage_last_window", 7);
+    metrics.set_usage("usage_last_window", 8);
+    metrics.count_usage("usage_late_statements", 2);
+    metrics.count_usage("usage_late_statements", 3);
+    metrics.count_usage("usage_dropped_windows", 0);
+    let text = metrics.registry().text();
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = [
+        "magnoliahatch_usage_late_statements{} 5",
+        "magnoliahatch_usage_last_window{} 8",
+    ];
+    assert_eq!(lines, expected);
+}
