Let lower classes age step by step, at most one grant in eight

What: a waiting statement may move up more than one class, each time after half of the time it has left. At least eight grants lie between two such moves. The only waiting statement of an organisation in its class is not refused because of the work in higher classes.

--- a/crates/gateway/src/policy/admission.rs
+++ b/crates/gateway/src/policy/admission.rs
@@ -66,7 +66,9 @@
         }
         self.order.promote(now);
         let (expected, end) = self.estimate(&request, now);
-        if !has_slot && now + end >= request.deadline {
+        let service = self.times.get(request.kind).lower_bound(now);
+        let may_age = self.order.may_age(&request, service, now);
+        if !has_slot && !may_age && now + end >= request.deadline {
             let latest_start = self.latest_start(request.kind, request.deadline);
             self.refusals.on_refused(latest_start);
             return AdmissionDecision::Refused(Refusal::ExpectedWait(expected));
--- a/crates/gateway/src/policy/fair_order.rs
+++ b/crates/gateway/src/policy/fair_order.rs
@@ -12,6 +12,9 @@
 use crate::policy::waiting_statement::WaitingStatement;
 use crate::policy::work_ahead::WorkAhead;
 
+/// Grants after which the next statement may move up one class. Ageing thus costs a class at most one
+/// grant in eight, however many organisations wait in lower ones.
+const PROMOTION_INTERVAL: u32 = 8;
 /// Added to the class of statements that will probably end after their deadline.
 const DOUBTFUL: u32 = 1 << 31;
 
@@ -24,6 +27,8 @@
     classes: BTreeMap<u32, FairClass>,
     /// Statements that will move up one class, by the time at which they do.
     ageing: BTreeSet<(Duration, Ticket)>,
+    /// Grants until the next statement may move up.
+    until_promotion: u32,
     /// All statements by deadline.
     deadlines: BTreeSet<(Duration, Ticket)>,
     /// Those that were not moved behind all others, by deadline.
@@ -54,6 +59,7 @@
             class: request.class(),
             request,
             arrived,
+            entered: arrived,
             ages_at: arrived,
             expected,
         };
@@ -77,14 +83,15 @@
         Some(statement)
     }
 
-    /// Moves statements that have waited for half of their time limit to the next higher class, if
-    /// their organisation had no turn in their class within this time. Otherwise they wait for other
-    /// statements of their own organisation, and would overtake those of other organisations.
+    /// Moves statements that have waited for half of the time that they had left when they entered
+    /// their class to the next higher one, if their organisation had no turn within this time.
+    /// Otherwise they wait for other statements of their own organisation, and would overtake those
+    /// of other organisations.
     pub fn promote(&mut self, now: Duration) {
-        while let Some((at, ticket)) = self.ageing.first().copied() {
-            if at > now {
-                return;
-            }
+        while self.until_promotion == 0
+            && let Some((at, ticket)) = self.ageing.first().copied()
+            && at <= now
+        {
             self.ageing.remove(&(at, ticket));
             let Some(statement) = self.statements.get_mut(&ticket) else {
                 continue;
@@ -99,8 +106,14 @@
                 continue;
             }
             class.on_promoted(organisation, now);
+            self.until_promotion = PROMOTION_INTERVAL;
             if let Some(mut statement) = self.remove(ticket) {
                 statement.class = statement.class.saturating_sub(1);
+                statement.entered = now;
+                statement.ages_at = statement.ages_at(now);
+                if statement.class > 0 {
+                    self.ageing.insert((statement.ages_at, ticket));
+                }
                 self.likely.insert((statement.request.deadline, ticket));
                 self.insert_in_class(ticket, statement);
             }
@@ -151,6 +164,7 @@
         now: Duration,
     ) -> Option<(Ticket, WaitingStatement)> {
         let mut first = self.classes.first_entry()?;
+        self.until_promotion = self.until_promotion.saturating_sub(1);
         let ticket = first.get_mut().pop(preferred, times, now)?;
         if first.get().is_empty() {
             first.remove();
@@ -158,6 +172,17 @@
         Some((ticket, self.forget(ticket)?))
     }
 
+    /// Whether a new statement is the only one of its organisation in its class, and may move up to
+    /// class 0 while there is time left for its service.
+    pub fn may_age(&self, request: &Request, service: Duration, now: Duration) -> bool {
+        let class = request.class();
+        let waiting = self.classes.get(&class);
+        let left = request.deadline.saturating_sub(now);
+        class > 0
+            && waiting.is_none_or(|w| w.backlog(&request.organisation) == 0.0)
+            && service < left.div_f64(2_f64.powf(f64::from(class)))
+    }
+
     /// Adds the work that is served before a new statement.
     pub fn add_work_before(&self, request: &Request, ahead: &mut WorkAhead<'_>) {
         for (class, waiting) in self.classes.range(..=request.class()) {
--- a/crates/gateway/src/policy/waiting_statement.rs
+++ b/crates/gateway/src/policy/waiting_statement.rs
@@ -11,6 +11,8 @@
     /// Present class; an older statement may be in a higher class than its request.
     pub class: u32,
     pub arrived: Duration,
+    /// When it entered its present class.
+    pub entered: Duration,
     /// When it is next checked whether it moves up one class.
     pub ages_at: Duration,
     /// Wait that was expected on arrival.
@@ -18,9 +20,11 @@
 }
 
 impl WaitingStatement {
-    /// When the statement moves up one class if its organisation had its last turn at `last_turn`.
+    /// When the statement moves up one class if its organisation had its last turn at `last_turn`:
+    /// after half of the time that it had left when it entered its class.
     pub fn ages_at(&self, last_turn: Duration) -> Duration {
-        self.arrived.max(last_turn) + self.limit() / 2
+        let left = self.request.deadline.saturating_sub(self.entered);
+        self.entered.max(last_turn) + left / 2
     }
 
     /// Time from the arrival to the deadline.
