--- a/crates/gateway/tests/admission/estimates.rs
+++ b/crates/gateway/tests/admission/estimates.rs
@@ -135,6 +135,32 @@
     }
 }
 
+/// Guards against a lower class that starves since each of its statements is refused on arrival and
+/// none can move up. One statement of an organisation waits, the next is refused as before, and so
+/// is one that would have no time left after it moved up.
+#[test]
+fn one_statement_of_a_lower_class_waits_behind_a_full_higher_one() {
+    let mut queue = measured(1, &[(StatementKind::Read, millis(10))], millis(0));
+    for _ in 0..100 {
+        queue.request(read("high", millis(2000)), millis(0));
+    }
+    let mut low = |organisation, limit| {
+        let request = Request {
+            priority: 1,
+            ..read(organisation, millis(limit))
+        };
+        let decision = queue.request(request, millis(0));
+        matches!(decision, AdmissionDecision::Waiting(_))
+    };
+    assert!(low("a", 100), "the first of an organisation");
+    assert!(!low("a", 100), "the second of an organisation");
+    assert!(low("b", 100), "the first of another organisation");
+    assert!(
+        !low("c", 20),
+        "half of the limit is left when it could move up once"
+    );
+}
+
 /// Guards against a refusal while a slot is free: the estimate may be wrong, and nothing is gained.
 #[test]
 fn free_slot_is_granted_whatever_the_estimate_says() {
