--- a/crates/gateway/src/model/usage_report.rs
+++ b/crates/gateway/src/model/usage_report.rs
@@ -10,7 +10,7 @@
 pub type WindowIndex = u64;
 
 /// Number of statements that each organisation ran in a window.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageReport {
     pub window: WindowIndex,
     pub counts: BTreeMap<OrganisationId, u64>,
--- a/crates/gateway/src/policy/usage_duty.rs
+++ b/crates/gateway/src/policy/usage_duty.rs
@@ -30,7 +30,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// What a host knows besides the record.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct DutySituation {
     /// Place of this host among the aggregators, if it is one.
     pub rank: Option<usize>,
@@ -41,7 +41,7 @@
 }
 
 /// What the host does next.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub enum DutyStep {
     Wait,
     /// Read the record.
@@ -58,7 +58,7 @@
 }
 
 /// How a write of the record ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum WriteOutcome {
     Written(Revision),
     /// The write had no effect, and the record is as it was.
@@ -68,7 +68,7 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum CallOutcome {
     Accepted,
     Refused,
@@ -77,7 +77,7 @@
 }
 
 /// The record as this host read or wrote it.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Known {
     /// `None` if the record does not exist.
     stored: Option<(Revision, DutyRecord)>,
--- a/crates/gateway/src/policy/usage_windows.rs
+++ b/crates/gateway/src/policy/usage_windows.rs
@@ -52,7 +52,7 @@
 }
 
 /// A report, and how many windows before it were left out.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub struct NextReport {
     pub report: UsageReport,
     pub omitted: u64,
