Test the counts of usage reports across changes of the holder

Guards against statements that are missing, or are reported twice or in another window, under random counts, restarts of both aggregators, outages of links, lost answers and clock jumps (400 cases).

--- a/crates/gateway/tests/usage_duty/main.rs
+++ b/crates/gateway/tests/usage_duty/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the duty of sending usage reports.
 
+mod counted;
 mod fleet;
 mod interleavings;
 mod platform;
