--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,9 +56,9 @@
 /// this is taken for a restart of the whole fleet in 1 of 256 cases, which costs no more than a
 /// second restart of the fleet.
 const AGE_SAMPLE: usize = 8;
-/// Age at which a process fills the buckets that it owns at the first start of the whole system. All
-/// hosts are registered by then, so that each bucket is filled by one of them.
-const FIRST_FILL_AGE: Duration = Duration::from_secs(2);
+/// Age at which a process settles the buckets that it filled at the first start of the whole system.
+/// All hosts are registered by then, so that each bucket is kept by one of them.
+const SETTLE_AGE: Duration = Duration::from_secs(2);
 /// Time limit of these calls. Processes that are starting answer within some hundred ms.
 const AGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a stopping host checks for remaining sessions.
@@ -226,8 +226,9 @@
 /// Gives the organisations their first tokens after a start or restart of the whole system.
 async fn fill_quotas<P: Platform>(node: Rc<Node<P>>) {
     if node.settings.first_start {
-        tokio::time::sleep(FIRST_FILL_AGE.saturating_sub(node.age())).await;
         node.quota.fill(&node, |rate| rate.burst);
+        tokio::time::sleep(SETTLE_AGE.saturating_sub(node.age())).await;
+        node.quota.settle(&node);
         return;
     }
     let mut others = node.view.borrow().host_ids();
--- a/crates/gateway/src/policy/quota.rs
+++ b/crates/gateway/src/policy/quota.rs
@@ -60,6 +60,16 @@
         bucket.set_tokens(Amount::new(rate.per_second, rate.burst), tokens, now);
     }
 
+    /// Whether this host has a bucket of the organisation.
+    pub fn contains(&self, organisation: &str) -> bool {
+        self.buckets.contains_key(organisation)
+    }
+
+    /// Drops the buckets of the organisations for which `keep` is false.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.buckets.retain(|organisation, _| keep(organisation));
+    }
+
     fn bucket(&mut self, organisation: &str, now: Duration) -> &mut ReservedBucket {
         self.buckets
             .entry(organisation.to_owned())
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -67,6 +67,24 @@
         }
     }
 
+    /// Settles the buckets of the first start once all hosts are registered: drops those that this host
+    /// filled although another one owns the rate, and fills those that it owns and did not know of.
+    pub fn settle<P: Platform>(&self, node: &Node<P>) {
+        let Some(configuration) = node.configuration() else {
+            return;
+        };
+        let hosts = node.hosts();
+        let own = node.settings.host.as_str();
+        let is_owner = |organisation: &str| rate_owner(organisation, &hosts) == Some(own);
+        let mut table = self.table.borrow_mut();
+        table.retain(is_owner);
+        for (organisation, rate) in &configuration.rates {
+            if is_owner(organisation) && !table.contains(organisation) {
+                table.fill(organisation, *rate, rate.burst, clock::now());
+            }
+        }
+    }
+
     /// Grants tokens to a host. The shares of hosts that no longer call are kept back, since a host
     /// that is cut off uses its own share. Returns the tokens of each request.
     pub fn grant<P: Platform>(
