Limit the statements in flight at a member by its answers

A member that restarted or returned after an outage got twice as many statements as it has slots at once. Its home now starts with half of the slots and opens the window as answers arrive at the member's usual speed. A known member whose answers take more than twice as long as usual, while others of its service do not, gets as many statements as slots; refusals halve the window. A calm member, and a host that merely becomes home, keep the whole window.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -13,6 +13,7 @@
 use crate::member::channel_handle::QueuedJob;
 use crate::member::connection::Response;
 use crate::member::connection_error::ConnectionError;
+use crate::member::other_members;
 use crate::member::pool::Pool;
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::send_check;
@@ -32,6 +33,8 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::policy::admission_request::Request;
+use crate::policy::pace::AnswerClass;
+use crate::policy::pace::Answered;
 
 /// Time limit for rolling back a transaction, which needs no slot.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -271,7 +274,9 @@
         send_check::check(&self.node, &self.target, job, self.in_transaction)?;
         let command = self.command(job, prepared);
         let sent = clock::now();
+        let in_flight = self.pool.pace.on_sent();
         let result = self.send(command, until.saturating_sub(sent)).await;
+        self.record_pace(&result, job, sent, in_flight);
         drop(slot);
         let durable = job.work.writes()
             && (self.target.transaction.is_none() || matches!(job.work, Work::Commit));
@@ -284,6 +289,31 @@
         }
     }
 
+    /// Records how a statement ended before its slot is released, so that the next one is admitted
+    /// by the new window.
+    fn record_pace(
+        &self,
+        result: &Result<Response, ConnectionError>,
+        job: &Job,
+        sent: Duration,
+        in_flight: u32,
+    ) {
+        let answer = result.as_ref().ok().map(|response| Answered {
+            kind: job.work.kind(),
+            took: clock::now().saturating_sub(sent),
+            class: match &response.result {
+                Ok(_) => AnswerClass::Served,
+                Err((code, _)) => AnswerClass::of_error(*code),
+            },
+            in_flight,
+        });
+        let Target {
+            service, member, ..
+        } = &self.target;
+        let others_usual = || other_members::answer_as_usual(&self.node, service, member);
+        self.pool.on_statement_end(answer, others_usual);
+    }
+
     fn on_response(&mut self, response: Response, sent: Duration, durable: bool) -> Outcome {
         self.pool.on_answer();
         self.in_transaction = response.state != TransactionState::Idle;
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -6,6 +6,8 @@
 pub mod connection_error;
 pub mod control;
 pub mod drop_guard;
+pub mod member_pace;
+pub mod other_members;
 pub mod pool;
 pub mod pool_table;
 pub mod pooled_connection;
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -15,6 +15,7 @@
 use crate::member::connection::Connection;
 use crate::member::connection_error::ConnectionError;
 use crate::member::drop_guard::on_drop;
+use crate::member::member_pace::MemberPace;
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::slot::Slot;
 use crate::model::error_code::ErrorCode;
@@ -35,10 +36,8 @@
 use crate::policy::connection_plan::limit_opening;
 use crate::policy::connection_plan::plan;
 use crate::policy::connection_plan::plan_command;
+use crate::policy::pace::Answered;
 
-/// Statements sent to a member for each of its slots: while one runs, the next is already in
-/// transit.
-const SENT_PER_SLOT: u32 = 2;
 /// After a failed attempt to connect, callers that need a new connection are refused without
 /// another attempt for this long.
 const RECONNECT_DELAY: Duration = Duration::from_millis(250);
@@ -69,6 +68,7 @@
 /// Connections of this host to one member.
 pub struct Pool<P: Platform> {
     pub endpoint: Endpoint,
+    pub pace: Rc<MemberPace>,
     /// Idle connections; the last one was used most recently.
     idle: RefCell<Vec<Connection<P>>>,
     /// Number of all connections of this pool, in use or idle.
@@ -91,10 +91,11 @@
 }
 
 impl<P: Platform> Pool<P> {
-    pub fn new(endpoint: Endpoint) -> Rc<Self> {
-        let capacity = endpoint.slots.max(1).saturating_mul(SENT_PER_SLOT);
+    pub fn new(endpoint: Endpoint, pace: Rc<MemberPace>) -> Rc<Self> {
+        let capacity = pace.window();
         Rc::new(Self {
             endpoint,
+            pace,
             idle: RefCell::default(),
             total: Cell::new(0),
             opening: Cell::new(0),
@@ -165,12 +166,24 @@
     /// Records that the member answered.
     pub fn on_answer(&self) {
         self.last_answer.set(Some(clock::now()));
+        self.pace.on_reached();
+        self.set_capacity(self.pace.window());
         if self.last_failure.take().is_some() {
             let member = &self.endpoint.member;
             tracing::info!(event = 621, member, "member can be reached again");
         }
     }
 
+    /// Records how a statement ended, `None` if without an answer. `others_usual` tells whether another
+    /// member of the service answers at its usual speed.
+    pub fn on_statement_end(&self, answer: Option<Answered>, others_usual: impl FnOnce() -> bool) {
+        match answer {
+            Some(answer) => self.pace.on_answer(answer, others_usual),
+            None => self.pace.on_unanswered(),
+        }
+        self.set_capacity(self.pace.window());
+    }
+
     /// Records that a command sent at `sent` failed on its connection. If it got no answer, and the
     /// member has not answered on another connection since, the idle connections may be broken as well
     /// and are closed.
@@ -185,6 +198,7 @@
             tracing::debug!(event = 623, member, %error, "one connection to a member failed");
             return;
         }
+        self.pace.on_failure();
         if self.last_failure.replace(Some(clock::now())).is_none() {
             let member = &self.endpoint.member;
             tracing::warn!(event = 620, member, %error, "member cannot be reached");
@@ -397,6 +411,7 @@
                 if !error.is_silence() {
                     // What listens there does not accept connections as a member does.
                     self.last_failure.set(Some(now));
+                    self.pace.on_failure();
                 }
                 Err(failure(ErrorCode::Busy, Cause::Connection))
             }
--- a/crates/gateway/src/member/pool_table.rs
+++ b/crates/gateway/src/member/pool_table.rs
@@ -6,27 +6,36 @@
 
 use magnoliahatch_core::ids::MemberId;
 
+use crate::member::member_pace::MemberPace;
 use crate::member::pool::Endpoint;
 use crate::member::pool::Pool;
+use crate::metrics::Metrics;
 use crate::platform::Platform;
 
 /// Pools by member, each with the start time of the member's process.
 type Pools<P> = BTreeMap<MemberId, (u64, Rc<Pool<P>>)>;
 
+/// Removed members whose answer times are remembered, so that a member which restarts is known also
+/// if its registration was removed meanwhile. Far above the members of any deployment (60).
+const MAX_REMOVED: usize = 256;
+
 /// Pools by member. A pool is created on first use.
 pub struct PoolTable<P: Platform> {
     pools: RefCell<Pools<P>>,
+    /// Members without a pool: the start time of the process and what its answers were like.
+    removed: RefCell<BTreeMap<MemberId, (u64, Rc<MemberPace>)>>,
+    metrics: Rc<Metrics>,
 }
 
-impl<P: Platform> Default for PoolTable<P> {
-    fn default() -> Self {
+impl<P: Platform> PoolTable<P> {
+    pub fn new(metrics: Rc<Metrics>) -> Self {
         Self {
             pools: RefCell::default(),
+            removed: RefCell::default(),
+            metrics,
         }
     }
-}
 
-impl<P: Platform> PoolTable<P> {
     /// Returns the pool of a member. A member that restarted since, or changed its address or
     /// slots, gets a new pool.
     pub fn get(&self, endpoint: &Endpoint, started: u64) -> Rc<Pool<P>> {
@@ -37,7 +46,21 @@
             }
             pool.close_connections();
         }
-        let pool = Pool::new(endpoint.clone());
+        let removed = self.removed.borrow_mut().remove(&endpoint.member);
+        let replaced = pools.get(&endpoint.member);
+        let previous = replaced.map(|(known, pool)| (*known, pool.pace.clone()));
+        let previous = previous.or(removed);
+        let pace = match previous {
+            Some((known, pace)) if known != started => pace.restarted(endpoint.slots),
+            Some((_, pace)) if pace.slots() == endpoint.slots => pace,
+            _ => MemberPace::new(
+                endpoint.member.clone(),
+                endpoint.slots,
+                self.metrics.clone(),
+            ),
+        };
+        pace.record_window();
+        let pool = Pool::new(endpoint.clone(), pace);
         pools.insert(endpoint.member.clone(), (started, pool.clone()));
         pool
     }
@@ -56,12 +79,18 @@
     /// Removes the pools of the members for which `keep` is false and closes their idle
     /// connections.
     pub fn retain(&self, keep: impl Fn(&MemberId) -> bool) {
-        self.pools.borrow_mut().retain(|member, (_, pool)| {
+        let mut removed = self.removed.borrow_mut();
+        self.pools.borrow_mut().retain(|member, (started, pool)| {
             let kept = keep(member);
             if !kept {
                 pool.close_connections();
+                self.metrics.remove_window(member);
+                removed.insert(member.clone(), (*started, pool.pace.clone()));
             }
             kept
         });
+        while removed.len() > MAX_REMOVED {
+            removed.pop_first();
+        }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cadence::Counted;
+use cadence::Gauged;
 use cadence::Histogrammed;
 use cadence::MetricSink;
 use cadence::StatsdClient;
@@ -17,6 +18,7 @@
 use percent_encoding::utf8_percent_encode;
 
 use crate::model::outcome::Failure;
+use crate::policy::pace::WindowCause;
 
 /// Further series are dropped, so that names sent by clients cannot grow memory without bound.
 const MAX_SERIES: usize = 512;
@@ -71,6 +73,11 @@
         text
     }
 
+    fn remove(&self, series: &str) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        counters.remove(series);
+    }
+
     fn record(&self, line: &str) -> Option<()> {
         let (name, rest) = line.split_once(':')?;
         let mut parts = rest.split('|');
@@ -107,7 +114,8 @@
             if counters.len() >= MAX_SERIES && !counters.contains_key(&series) {
                 return None;
             }
-            *counters.entry(series).or_default() += value;
+            let counter = counters.entry(series).or_default();
+            *counter = if kind == "g" { value } else { *counter + value };
         }
         Some(())
     }
@@ -148,6 +156,27 @@
         metric.with_tag("route", &label(route)).send();
     }
 
+    /// Records the number of statements that may be in flight at a member.
+    pub fn record_window(&self, member: &str, window: u32) {
+        let metric = self
+            .client
+            .gauge_with_tags("member_window", u64::from(window));
+        metric.with_tag("member", &label(member)).send();
+    }
+
+    /// Removes the window of a member that has left, so that series do not accumulate.
+    pub fn remove_window(&self, member: &str) {
+        let label = label(member);
+        let series = format!("magnoliahatch_member_window{{member=\"{label}\"}}");
+        self.registry.remove(&series);
+    }
+
+    /// Counts a change of the window of a member.
+    pub fn count_window_change(&self, cause: WindowCause) {
+        let metric = self.client.count_with_tags("member_window_changes", 1);
+        metric.with_tag("cause", cause.label()).send();
+    }
+
     /// Counts a statement that failed.
     pub fn count_failure(&self, route: &str, error: &Failure) {
         let code = format!("{:?}", error.code);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -71,7 +71,7 @@
     pub mesh: Rc<MeshHandle>,
     pub pools: PoolTable<P>,
     pub quota: QuotaTokens,
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     pub loads: MemberLoads,
     pub floors: ReadFloors,
     pub reports: ViewReports,
@@ -95,6 +95,7 @@
     pub fn new(settings: Settings, store: P::Store) -> Rc<Self> {
         let incarnation: Incarnation = rand::random();
         let host = settings.host.clone();
+        let metrics = Rc::new(Metrics::open());
         Rc::new(Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -104,9 +105,9 @@
             view: RefCell::default(),
             changed: watch::channel(0).0,
             mesh: MeshHandle::open(host, incarnation),
-            pools: PoolTable::default(),
+            pools: PoolTable::new(metrics.clone()),
             quota: QuotaTokens::default(),
-            metrics: Metrics::open(),
+            metrics,
             loads: MemberLoads::default(),
             floors: ReadFloors::default(),
             reports: ViewReports::default(),
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod access;
 pub mod admission;
 pub mod admission_request;
+pub mod answer_times;
 pub mod backoff;
 pub mod bounds;
 pub mod cold_start;
@@ -10,6 +11,8 @@
 pub mod duty_hosts;
 pub mod failover_trigger;
 pub mod homes;
+pub mod outage;
+pub mod pace;
 pub mod ping_schedule;
 pub mod promotion;
 pub mod quota;
