--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -99,6 +99,26 @@
     drop(primary_guard);
 }
 
+/// What a job's place in a queue of the member depends on.
+fn request<P: Platform>(
+    node: &Node<P>,
+    target: &Target,
+    job: &Job,
+    deadline: Duration,
+    in_transaction: bool,
+) -> Request {
+    let organisation = target.organisation.clone();
+    let configuration = node.configuration();
+    Request {
+        weight: configuration.map_or(1.0, |c| c.weight(&organisation)),
+        organisation,
+        priority: target.priority,
+        kind: job.work.kind(),
+        deadline,
+        in_transaction,
+    }
+}
+
 struct Channel<P: Platform> {
     node: Rc<Node<P>>,
     pool: Rc<Pool<P>>,
@@ -129,7 +149,7 @@
             }
         };
         let connection = pool
-            .connection(&target.organisation, target.priority, until)
+            .connection(request(&node, &target, job, until, false))
             .await?;
         let mut channel = Self {
             node,
@@ -253,15 +273,8 @@
         let until = start + job.timeout;
         let prepared = self.prepare(job).await?;
         self.pool.wait_for_rate(!self.in_transaction, until).await?;
-        let request = Request {
-            organisation: self.target.organisation.clone(),
-            weight: 1.0,
-            priority: self.target.priority,
-            kind: job.work.kind(),
-            deadline: until,
-            in_transaction: self.in_transaction,
-        };
-        let slot = self.pool.slot(request).await?;
+        let request = request(&self.node, &self.target, job, until, self.in_transaction);
+        let slot = self.pool.slot(request, &self.node.metrics).await?;
         self.queued = clock::now().saturating_sub(start);
         let primary = matches!(self.target.consistency, Consistency::Primary);
         if primary
@@ -277,7 +290,12 @@
         let in_flight = self.pool.pace.on_sent();
         let result = self.send(command, until.saturating_sub(sent)).await;
         self.record_pace(&result, job, sent, in_flight);
-        drop(slot);
+        match &result {
+            Ok(response) if response.was_run() => {
+                slot.finish(clock::now().saturating_sub(sent));
+            }
+            _ => drop(slot),
+        }
         let durable = job.work.writes()
             && (self.target.transaction.is_none() || matches!(job.work, Work::Commit));
         match result {
