Choose members for reads by the load that their homes report

A host that sends few reads did not see the queue at a member's home, and hosts with the same figures chose the same member. Each outcome now carries the member's load at its home. A report less than a second old replaces the host's own figures; distance, primary and cold members cost as before. Members of about the same cost share the reads by a hash of the request, and a member that is opening after a restart is avoided while another has room.

A report is dropped when the member or its home does not answer.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -2,6 +2,9 @@
 //! where that is safe.
 
 use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -147,6 +150,9 @@
         };
         let access = access(node, &statement, &member, &host);
         let outcome = send(node, &handle, &member, &statement.job, deadline).await;
+        if host == node.settings.host {
+            node.loads.on_report(&member, node.own_load(&member));
+        }
         attempted.count += 1;
         match outcome {
             Ok(answer) => {
@@ -293,6 +299,7 @@
         let is_allowed = entry.is_some_and(|e| allowed(&e.data_centre));
         return is_allowed.then_some((member, true));
     }
+    let now = clock::now();
     let mut members = Vec::new();
     let mut choices = Vec::new();
     for (id, entry) in view.members(service, clock::now()) {
@@ -311,17 +318,22 @@
         } else {
             Distance::OtherRegion
         };
-        let (latency, pending) = node.loads.get(id);
+        let known = node.loads.get(id);
         members.push((id.clone(), is_primary));
         choices.push(ReadCandidate {
             distance,
             primary: is_primary,
             cold: view.is_cold(id, clock::now()),
-            latency,
-            pending,
+            slots: entry.slots,
+            latency: known.latency,
+            pending: known.pending,
+            report: known.report(now),
         });
     }
-    let best = replica_choice::choose(&choices)?;
+    let mut hasher = DefaultHasher::new();
+    statement.job.id.hash(&mut hasher);
+    let best = replica_choice::choose(&choices, hasher.finish())?;
+    node.metrics.count_choice(choices[best].report.is_some());
     Some(members.swap_remove(best))
 }
 
--- a/crates/gateway/src/front/remote.rs
+++ b/crates/gateway/src/front/remote.rs
@@ -28,6 +28,7 @@
     tokio::task::spawn_local(async move {
         let channel = node.mesh.next_id();
         let transaction = target.transaction.is_some();
+        let member = target.member.clone();
         let mut opening = Some(target);
         let mut sent = false;
         while let Some((job, reply)) = jobs.recv().await {
@@ -44,6 +45,11 @@
                 answer,
                 Err(CallError::Unreachable | CallError::Ended | CallError::TooLarge)
             );
+            let load = match &answer {
+                Ok(Response::Outcome(_, load)) => *load,
+                _ => None,
+            };
+            node.loads.on_report(&member, load);
             let outcome = outcome(answer, durable);
             let failed = outcome.is_err();
             // The caller may be gone; it then closes the queue, which ends the loop.
@@ -76,7 +82,7 @@
 
 fn outcome(answer: Result<Response, CallError>, durable: bool) -> Outcome {
     match answer {
-        Ok(Response::Outcome(outcome)) => outcome,
+        Ok(Response::Outcome(outcome, _)) => outcome,
         Err(CallError::Unreachable | CallError::Ended) => {
             Err(failure(ErrorCode::Busy, Cause::Peer))
         }
--- a/crates/gateway/src/member/connection_queue.rs
+++ b/crates/gateway/src/member/connection_queue.rs
@@ -37,9 +37,9 @@
     pub async fn wait(&self, ticket: Ticket, request: &Request, arrived: Duration) -> bool {
         let left = request.deadline.saturating_sub(clock::now());
         let (sender, receiver) = oneshot::channel();
-        let mut order = self.order.borrow_mut();
-        order.insert(ticket, request.clone(), arrived);
-        drop(order);
+        self.order
+            .borrow_mut()
+            .insert(ticket, request.clone(), arrived);
         self.senders.borrow_mut().insert(ticket, sender);
         let woken = tokio::time::timeout(left.min(RECHECK_INTERVAL), receiver).await;
         if matches!(woken, Ok(Ok(()))) {
--- a/crates/gateway/src/member/member_pace.rs
+++ b/crates/gateway/src/member/member_pace.rs
@@ -7,6 +7,7 @@
 
 use crate::clock;
 use crate::metrics::Metrics;
+use crate::model::member_load::MemberLoad;
 use crate::policy::pace::Answered;
 use crate::policy::pace::Pace;
 use crate::policy::pace::WindowCause;
@@ -57,6 +58,20 @@
         self.pace.borrow().window()
     }
 
+    /// The load of the member, for which `waiting` statements wait.
+    pub fn load(&self, waiting: usize) -> MemberLoad {
+        let pace = self.pace.borrow();
+        let narrow = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+        MemberLoad {
+            running: narrow(pace.in_flight()),
+            waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
+            window: narrow(pace.window()),
+            read: pace.read_time(),
+            opening: pace.is_opening(),
+            slow: pace.is_slow(),
+        }
+    }
+
     /// Whether recent answers were slow by the member's own baseline.
     pub fn is_slow(&self) -> bool {
         self.pace.borrow().is_slow()
--- a/crates/gateway/src/member/other_members.rs
+++ b/crates/gateway/src/member/other_members.rs
@@ -18,10 +18,13 @@
     let others = view.members(service, now);
     let mut others = others.into_iter().filter(|(id, _)| *id != member);
     others.any(|(id, _)| {
-        node.pools.find(id).is_some_and(|pool| {
-            let answered = pool.last_answer();
-            let recent = answered.is_some_and(|at| now.saturating_sub(at) <= RECENT);
-            recent && !pool.pace.is_slow()
-        })
+        let reported = node.loads.last_report(id);
+        let reported_usual = reported.is_some_and(|(load, age)| age <= RECENT && !load.slow);
+        reported_usual
+            || node.pools.find(id).is_some_and(|pool| {
+                let answered = pool.last_answer();
+                let recent = answered.is_some_and(|at| now.saturating_sub(at) <= RECENT);
+                recent && !pool.pace.is_slow()
+            })
     })
 }
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -19,6 +19,7 @@
 use crate::member::slot_queue::SlotQueue;
 use crate::metrics::Metrics;
 use crate::model::error_code::ErrorCode;
+use crate::model::member_load::MemberLoad;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
@@ -171,6 +172,11 @@
         self.set_capacity(self.pace.window());
     }
 
+    /// The load of the member as this host sees it.
+    pub fn load(&self) -> MemberLoad {
+        self.pace.load(self.slots.waiting())
+    }
+
     /// Records that a command sent at `sent` failed on its connection. If it got no answer, and the
     /// member has not answered on another connection since, the idle connections may be broken as well
     /// and are closed.
--- a/crates/gateway/src/member/slot_queue.rs
+++ b/crates/gateway/src/member/slot_queue.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// Number of statements that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.admission.borrow().waiting()
+    }
+
     /// Sets how many statements may run at once.
     pub fn set_capacity(self: &Rc<Self>, capacity: u32) {
         self.admission.borrow_mut().set_capacity(capacity);
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -13,6 +13,7 @@
 use crate::model::job::Job;
 use crate::model::job::Target;
 use crate::model::kind::ObjectKind;
+use crate::model::member_load::MemberLoad;
 use crate::model::object::Object;
 use crate::model::outcome::Outcome;
 
@@ -140,7 +141,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Response {
     Done,
-    Outcome(Outcome),
+    /// The outcome of a statement, and the load of the member that ran it.
+    Outcome(Outcome, Option<MemberLoad>),
     Tokens(u32),
     ReadFloor(Option<(Duration, LogPosition)>),
     View {
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use magnoliahatch_core::ids::MemberId;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -22,6 +23,7 @@
 use crate::mesh::frame::WithId;
 use crate::mesh::link;
 use crate::model::error_code::ErrorCode;
+use crate::model::member_load::MemberLoad;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
@@ -78,7 +80,7 @@
     writer.send(&own_hello).await?;
     let (answers, mut outgoing) = mpsc::channel(QUEUE_LENGTH);
     let receive = async move {
-        let mut channels: HashMap<ChannelId, ChannelHandle> = HashMap::new();
+        let mut channels: HashMap<ChannelId, (MemberId, ChannelHandle)> = HashMap::new();
         while let Some(call) = reader.next::<WithId<Call>>().await? {
             on_call(&node, &hello.host, &mut channels, call, &answers);
         }
@@ -93,7 +95,7 @@
 fn on_call<P: Platform>(
     node: &Rc<Node<P>>,
     from: &str,
-    channels: &mut HashMap<ChannelId, ChannelHandle>,
+    channels: &mut HashMap<ChannelId, (MemberId, ChannelHandle)>,
     call: WithId<Call>,
     answers: &mpsc::Sender<Bytes>,
 ) {
@@ -109,17 +111,22 @@
             job,
         } => {
             if let Some(target) = target {
-                channels.insert(channel, channel::spawn(node.clone(), target));
+                let member = target.member.clone();
+                channels.insert(channel, (member, channel::spawn(node.clone(), target)));
             }
             let writes = job.work.writes();
-            let sent = channels.get(&channel).map(|c| c.send(*job));
-            let answers = answers.clone();
+            let sent = channels.get(&channel);
+            let sent = sent.map(|(member, handle)| (member.clone(), handle.send(*job)));
+            let (node, answers) = (node.clone(), answers.clone());
             tokio::task::spawn_local(async move {
-                let outcome = match sent {
-                    Some(receiver) => channel_handle::outcome(receiver).await,
-                    None => Err(failure(ErrorCode::Aborted, Cause::Idle)),
+                let (outcome, load) = match sent {
+                    Some((member, receiver)) => {
+                        let outcome = channel_handle::outcome(receiver).await;
+                        (outcome, node.own_load(&member))
+                    }
+                    None => (Err(failure(ErrorCode::Aborted, Cause::Idle)), None),
                 };
-                send_outcome(&answers, id, outcome, writes);
+                send_outcome(&answers, id, outcome, load, writes);
             });
         }
         body => {
@@ -175,8 +182,14 @@
 }
 
 /// Answers a statement. If its answer is too large for a frame, the caller is told only that.
-fn send_outcome(answers: &mpsc::Sender<Bytes>, id: CallId, outcome: Outcome, writes: bool) {
-    let body = Response::Outcome(outcome);
+fn send_outcome(
+    answers: &mpsc::Sender<Bytes>,
+    id: CallId,
+    outcome: Outcome,
+    load: Option<MemberLoad>,
+    writes: bool,
+) {
+    let body = Response::Outcome(outcome, load);
     match link::encode(&WithId { id, body }) {
         Ok(frame) => send_frame(answers, frame),
         Err(error) => {
@@ -187,7 +200,7 @@
                 ErrorCode::TooLarge
             };
             let refused = Err(failure(code, Cause::Peer));
-            send_answer(answers, id, Response::Outcome(refused));
+            send_answer(answers, id, Response::Outcome(refused, load));
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -175,6 +175,13 @@
         self.registry.remove(&series);
     }
 
+    /// Counts a choice of a member for a read, by what was known of that member.
+    pub fn count_choice(&self, reported: bool) {
+        let metric = self.client.count_with_tags("read_choices", 1);
+        let basis = if reported { "report" } else { "own" };
+        metric.with_tag("basis", basis).send();
+    }
+
     /// Counts a change of the window of a member.
     pub fn count_window_change(&self, cause: WindowCause) {
         let metric = self.client.count_with_tags("member_window_changes", 1);
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -7,6 +7,7 @@
 pub mod job;
 pub mod kind;
 pub mod member_entry;
+pub mod member_load;
 pub mod member_status;
 pub mod object;
 pub mod outcome;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::model::configuration::Configuration;
 use crate::model::error_code::ErrorCode;
 use crate::model::kind::ObjectKind;
+use crate::model::member_load::MemberLoad;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
@@ -270,6 +271,12 @@
         Ok(pool)
     }
 
+    /// The load of a member to which this host sends statements itself; `None` if it cannot be reached.
+    pub fn own_load(&self, member: &str) -> Option<MemberLoad> {
+        let pool = self.pools.find(member)?;
+        (!pool.is_failing()).then(|| pool.load())
+    }
+
     /// Whether a member has been leaving, that is draining or evacuated, for longer than it may be used.
     pub fn has_left(&self, member: &str, leaving: bool, now: Duration) -> bool {
         let mut members = self.leaving_members.borrow_mut();
--- a/crates/gateway/src/policy/replica_choice.rs
+++ b/crates/gateway/src/policy/replica_choice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::model::member_load::MemberLoad;
+
 /// Cost of a member in another data centre, expressed as time: traffic between data centres is
 /// charged for, and the distance adds latency.
 const OTHER_DATA_CENTRE_COST: Duration = Duration::from_millis(40);
@@ -12,6 +14,17 @@
 
 /// Added for a cold member, which is still slow after its start.
 const COLD_COST: Duration = Duration::from_millis(250);
+/// Added for a member whose window is still opening while another has room. Above
+/// `OTHER_DATA_CENTRE_COST`, so that one in another data centre is used meanwhile.
+const OPENING_COST: Duration = Duration::from_millis(50);
+/// One read in this many does not avoid such a member, since its window opens by answers only.
+const OPENING_SHARE: u64 = 8;
+/// Members whose costs differ by less than this part of the lowest expected response time share the
+/// reads. Reports are up to a second old, so smaller differences are no longer true, and all hosts
+/// would choose the same member.
+const SHARED_DIVISOR: u32 = 4;
+/// Smallest such difference: less than one statement changes (reads take 2 ms or more).
+const SHARED_MIN: Duration = Duration::from_millis(2);
 
 /// Distance between a member and this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,16 +34,46 @@
     OtherRegion,
 }
 
+/// What a member's home reported less than a second ago.
+#[derive(Debug, Clone, Copy)]
+pub struct HomeReport {
+    pub load: MemberLoad,
+    /// Requests that this host has sent to the member since, and that are not answered yet.
+    pub sent_since: u32,
+}
+
+impl HomeReport {
+    fn ahead(&self) -> u32 {
+        self.load.accepted() + self.sent_since
+    }
+
+    /// Whether the home would send one more statement to the member at once.
+    fn has_room(&self) -> bool {
+        self.ahead() < u32::from(self.load.window)
+    }
+
+    /// Expected wait and service time of one more read, if the home knows that of a read. Statements
+    /// beyond the slots wait, at the member or at its home.
+    fn response(&self, slots: u32) -> Option<Duration> {
+        let parallel = slots.min(u32::from(self.load.window)).max(1);
+        let rounds = f64::from(self.ahead() + 1) / f64::from(parallel);
+        Some(self.load.read?.mul_f64(rounds.max(1.0)))
+    }
+}
+
 /// A member that may run the read.
 #[derive(Debug, Clone, Copy)]
 pub struct ReadCandidate {
     pub distance: Distance,
     pub primary: bool,
     pub cold: bool,
+    pub slots: u32,
     /// Recent time from request to answer, without the network latency.
     pub latency: Duration,
     /// Requests of this host to the member that are not answered yet.
     pub pending: u32,
+    /// Replaces the two above.
+    pub report: Option<HomeReport>,
 }
 
 impl ReadCandidate {
@@ -47,11 +90,51 @@
             Duration::ZERO
         };
         let cold = if self.cold { COLD_COST } else { Duration::ZERO };
-        distance + primary + cold + self.latency * (self.pending + 1)
+        distance + primary + cold + self.response()
+    }
+
+    fn response(&self) -> Duration {
+        self.reported_response()
+            .unwrap_or_else(|| self.latency * (self.pending + 1))
+    }
+
+    fn reported_response(&self) -> Option<Duration> {
+        self.report?.response(self.slots)
+    }
+
+    fn is_opening(&self) -> bool {
+        self.report.is_some_and(|r| r.load.opening)
+    }
+
+    /// Whether the member is not opening and, as far as is known, has room for a read.
+    fn has_room(&self) -> bool {
+        !self.is_opening() && self.report.is_none_or(|r| r.has_room())
     }
 }
 
-/// Returns the index of the member with the lowest cost.
-pub fn choose(choices: &[ReadCandidate]) -> Option<usize> {
-    (0..choices.len()).min_by_key(|&i| choices[i].cost())
+/// Returns the index of the member with the lowest cost. Those with reports and about the same cost
+/// share the reads by `spread`, a hash of the request.
+pub fn choose(choices: &[ReadCandidate], spread: u64) -> Option<usize> {
+    let others_have_room = choices.iter().any(ReadCandidate::has_room);
+    let avoids_opening = others_have_room && !spread.is_multiple_of(OPENING_SHARE);
+    let cost = |i: usize| {
+        let opening = avoids_opening && choices[i].is_opening();
+        choices[i].cost()
+            + if opening {
+                OPENING_COST
+            } else {
+                Duration::ZERO
+            }
+    };
+    let best = (0..choices.len()).min_by_key(|&i| cost(i))?;
+    let Some(response) = choices[best].reported_response() else {
+        return Some(best);
+    };
+    let limit = cost(best) + (response / SHARED_DIVISOR).max(SHARED_MIN);
+    let shared = |i: &usize| choices[*i].reported_response().is_some() && cost(*i) < limit;
+    let members: Vec<usize> = (0..choices.len()).filter(shared).collect();
+    let count = members.len().max(1) as u64;
+    members
+        .get((spread / OPENING_SHARE % count) as usize)
+        .copied()
 }
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -271,8 +271,10 @@
         distance,
         primary,
         cold: false,
+        slots: 2,
         latency: millis(latency),
         pending,
+        report: None,
     }
 }
 
@@ -282,12 +284,12 @@
 fn reads_avoid_a_heavily_loaded_replica() {
     let near = |latency, pending| choice(Distance::SameDataCentre, false, latency, pending);
     let far = choice(Distance::OtherRegion, false, 15, 0);
-    assert_eq!(choose(&[near(15, 1), far]), Some(0));
-    assert_eq!(choose(&[near(15, 12), far]), Some(1));
-    assert_eq!(choose(&[near(90, 2), far]), Some(1));
+    assert_eq!(choose(&[near(15, 1), far], 0), Some(0));
+    assert_eq!(choose(&[near(15, 12), far], 0), Some(1));
+    assert_eq!(choose(&[near(90, 2), far], 0), Some(1));
     let primary = choice(Distance::SameDataCentre, true, 15, 0);
-    assert_eq!(choose(&[primary, near(15, 0)]), Some(1));
-    assert_eq!(choose(&[]), None);
+    assert_eq!(choose(&[primary, near(15, 0)], 0), Some(1));
+    assert_eq!(choose(&[], 0), None);
 }
 
 /// When the reader fails, hosts must use the next candidate instead of all reading the store.
