Count unanswered statements of a member that accepts connections as an outage

A member that hangs but accepts connections, or answers status queries, was never seen as silent: each accepted connection ended the silence. It now lasts until a statement is answered.

--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -13,7 +13,7 @@
 use crate::member::channel_log;
 use crate::member::connection::Response;
 use crate::member::connection_error::ConnectionError;
-use crate::member::other_members;
+use crate::member::paced_statement::PacedStatement;
 use crate::member::pool::Pool;
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::send_check;
@@ -33,8 +33,6 @@
 use crate::model::transaction_state::TransactionState;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::policy::pace::AnswerClass;
-use crate::policy::pace::Answered;
 
 /// Time limit for rolling back a transaction, which needs no slot.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -233,9 +231,10 @@
         send_check::check(&self.node, &self.target, job, self.in_transaction)?;
         let command = self.command(job, prepared);
         let sent = clock::now();
-        let in_flight = self.pool.pace.on_sent();
+        let paced = PacedStatement::sent(&self.pool, job.work.kind());
         let result = self.send(command, until.saturating_sub(sent)).await;
-        self.record_pace(&result, job, sent, in_flight);
+        // Before the slot is released, so that the next statement is admitted by the new window.
+        paced.end(&self.node, &self.target, &result);
         match &result {
             Ok(response) if response.was_run() => {
                 slot.finish(clock::now().saturating_sub(sent));
@@ -253,31 +252,6 @@
         }
     }
 
-    /// Records how a statement ended before its slot is released, so that the next one is admitted
-    /// by the new window.
-    fn record_pace(
-        &self,
-        result: &Result<Response, ConnectionError>,
-        job: &Job,
-        sent: Duration,
-        in_flight: u32,
-    ) {
-        let answer = result.as_ref().ok().map(|response| Answered {
-            kind: job.work.kind(),
-            took: clock::now().saturating_sub(sent),
-            class: match &response.result {
-                Ok(_) => AnswerClass::Served,
-                Err((code, _)) => AnswerClass::of_error(*code),
-            },
-            in_flight,
-        });
-        let Target {
-            service, member, ..
-        } = &self.target;
-        let others_usual = || other_members::answer_as_usual(&self.node, service, member);
-        self.pool.on_statement_end(answer, others_usual);
-    }
-
     fn on_response(&mut self, response: Response, sent: Duration, durable: bool) -> Outcome {
         self.pool.on_answer();
         self.in_transaction = response.state != TransactionState::Idle;
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -9,7 +9,7 @@
 pub mod control;
 pub mod drop_guard;
 pub mod member_pace;
-pub mod other_members;
+pub mod paced_statement;
 pub mod pool;
 pub mod pool_table;
 pub mod pooled_connection;
--- a/crates/gateway/src/policy/outage.rs
+++ b/crates/gateway/src/policy/outage.rs
@@ -48,12 +48,12 @@
         ended
     }
 
-    /// Records another answer, such as an accepted connection. Returns whether it ended an outage.
-    /// While statements are unanswered it does not end a shorter silence.
-    pub fn on_reached(&mut self, in_flight: u32) -> bool {
+    /// Records another answer, such as an accepted connection. Returns whether it ended an outage. It
+    /// does not end a shorter silence, since a member that hangs may still accept connections.
+    pub fn on_reached(&mut self) -> bool {
         let silence = self.since.map(|since| self.until.saturating_sub(since));
         let ended = self.failures > 0 && silence.is_some_and(|s| s >= OUTAGE);
-        if ended || in_flight == 0 {
+        if ended {
             *self = Self::default();
         }
         ended
--- a/crates/gateway/src/policy/pace.rs
+++ b/crates/gateway/src/policy/pace.rs
@@ -205,8 +205,10 @@
 
     /// Records an answer that is not one to a statement, such as an accepted connection.
     pub fn on_reached(&mut self, now: Duration) -> Option<WindowCause> {
-        let recovered = self.outage.on_reached(self.in_flight);
-        recovered.then(|| self.recover(now))
+        if self.outage.on_reached() {
+            return self.recover(now);
+        }
+        None
     }
 
     /// Records the answer to a statement. `others_usual` tells whether another member of the
@@ -219,7 +221,7 @@
     ) -> Option<WindowCause> {
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.outage.on_answer(answer.took, self.in_flight, now) {
-            return Some(self.recover(now));
+            return self.recover(now);
         }
         if now.saturating_sub(answer.took) < self.reduced || answer.class == AnswerClass::NotRun {
             return None;
@@ -349,10 +351,14 @@
         Some(cause)
     }
 
-    fn recover(&mut self, now: Duration) -> WindowCause {
-        self.last_good = self.window;
+    fn recover(&mut self, now: Duration) -> Option<WindowCause> {
+        // A member that accepts connections but answers no statement recovers again and again.
+        let is_first = self.opening && self.window <= self.first();
+        if !is_first {
+            self.last_good = self.window;
+        }
         self.open(now);
-        WindowCause::Recovered
+        (!is_first).then_some(WindowCause::Recovered)
     }
 
     fn open(&mut self, now: Duration) {
