--- a/crates/gateway/src/policy/admission.rs
+++ b/crates/gateway/src/policy/admission.rs
@@ -66,7 +66,9 @@
         }
         self.order.promote(now);
         let (expected, end) = self.estimate(&request, now);
-        if !has_slot && now + end >= request.deadline {
+        let service = self.times.get(request.kind).lower_bound(now);
+        let may_age = self.order.may_age(&request, service, now);
+        if !has_slot && !may_age && now + end >= request.deadline {
             let latest_start = self.latest_start(request.kind, request.deadline);
             self.refusals.on_refused(latest_start);
             return AdmissionDecision::Refused(Refusal::ExpectedWait(expected));
@@ -105,6 +107,7 @@
         self.latest = now;
         self.remove_lost(now);
         self.order.promote(now);
+        self.order.demote(&self.times, now);
         let free = self.capacity.saturating_sub(self.running.total());
         if free == 0 {
             return None;
@@ -162,10 +165,7 @@
     }
 
     fn remove_lost(&mut self, now: Duration) {
-        let is_lost = |r: &Request| self.latest_start(r.kind, r.deadline) <= now;
-        for ticket in self.order.select(is_lost) {
-            self.order.remove(ticket);
-            self.lost.push(ticket);
-        }
+        let lost = self.order.remove_lost(&self.times, now);
+        self.lost.extend(lost);
     }
 }
