--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -40,3 +40,19 @@
         assert_eq!(lines, expected, "{name:?}");
     }
 }
+
+/// Guards against a window that is added to the former one, and against series of members that have
+/// left, which would use up the limit of series.
+#[test]
+fn windows_are_replaced_and_removed() {
+    let metrics = Metrics::open();
+    let text = || metrics.registry().text();
+    metrics.record_window("m-a,1", 4);
+    metrics.record_window("m-a,1", 2);
+    assert_eq!(
+        text(),
+        "magnoliahatch_member_window{member=\"m-a%2C1\"} 2\n"
+    );
+    metrics.remove_window("m-a,1");
+    assert_eq!(text(), "");
+}
