--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -14,6 +14,7 @@
 use crate::member::channel_log;
 use crate::member::connection::Response;
 use crate::member::connection_error::ConnectionError;
+use crate::member::paced_statement::PacedStatement;
 use crate::member::pool::Pool;
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::send_check;
@@ -236,7 +237,10 @@
         send_check::check(&self.node, &self.target, job, self.in_transaction)?;
         let command = self.command(job, prepared);
         let sent = clock::now();
+        let paced = PacedStatement::sent(&self.pool, job.work.kind());
         let result = self.send(command, until.saturating_sub(sent)).await;
+        // Before the slot is released, so that the next statement is admitted by the new window.
+        paced.end(&self.node, &self.target, &result);
         match &result {
             Ok(response) if response.was_run() => {
                 slot.finish(clock::now().saturating_sub(sent));
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -8,6 +8,8 @@
 pub mod connection_queue;
 pub mod control;
 pub mod drop_guard;
+pub mod member_pace;
+pub mod paced_statement;
 pub mod pool;
 pub mod pool_table;
 pub mod pooled_connection;
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -13,6 +13,7 @@
 use crate::model::job::Job;
 use crate::model::job::Target;
 use crate::model::kind::ObjectKind;
+use crate::model::member_load::MemberLoad;
 use crate::model::object::Object;
 use crate::model::outcome::Outcome;
 use crate::model::token_request::TokenRequest;
@@ -150,7 +151,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Response {
     Done,
-    Outcome(Outcome),
+    /// The outcome of a statement, and the load of the member that ran it.
+    Outcome(Outcome, Option<MemberLoad>),
     /// Tokens granted for each request of the call.
     Tokens(Vec<u32>),
     ReadFloor(Option<(Duration, LogPosition)>),
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use magnoliahatch_core::ids::MemberId;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -28,6 +29,7 @@
 use crate::mesh::link::Received;
 use crate::model::client_refusal::ClientRefusal;
 use crate::model::error_code::ErrorCode;
+use crate::model::member_load::MemberLoad;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Outcome;
 use crate::model::outcome::failure;
@@ -85,7 +87,7 @@
     writer.send(&own_hello).await?;
     let (answers, mut outgoing) = frame_queue(&node.memory, QUEUE_LENGTH);
     let receive = async move {
-        let mut channels: HashMap<ChannelId, ChannelHandle> = HashMap::new();
+        let mut channels: HashMap<ChannelId, (MemberId, ChannelHandle)> = HashMap::new();
         while let Some(received) = reader.receive::<WithId<Call>>().await? {
             match received {
                 Received::Message(call, held) => {
@@ -113,13 +115,13 @@
         "no memory for a statement of a host"
     );
     let refused = Err(failure(ErrorCode::Busy, Cause::Queue));
-    send_answer(answers, id, Response::Outcome(refused));
+    send_answer(answers, id, Response::Outcome(refused, None));
 }
 
 fn on_call<P: Platform>(
     node: &Rc<Node<P>>,
     from: &str,
-    channels: &mut HashMap<ChannelId, ChannelHandle>,
+    channels: &mut HashMap<ChannelId, (MemberId, ChannelHandle)>,
     (call, held): (WithId<Call>, Option<HeldBytes>),
     answers: &FrameSender,
 ) {
@@ -135,18 +137,23 @@
             job,
         } => {
             if let Some(target) = target {
-                channels.insert(channel, channel::spawn(node.clone(), target));
+                let member = target.member.clone();
+                channels.insert(channel, (member, channel::spawn(node.clone(), target)));
             }
             let writes = job.work.writes();
-            let sent = channels.get(&channel).map(|c| c.send(*job));
-            let answers = answers.clone();
+            let sent = channels.get(&channel);
+            let sent = sent.map(|(member, handle)| (member.clone(), handle.send(*job)));
+            let (node, answers) = (node.clone(), answers.clone());
             tokio::task::spawn_local(async move {
-                let outcome = match sent {
-                    Some(receiver) => channel_handle::outcome(receiver).await,
-                    None => Err(failure(ErrorCode::Aborted, Cause::Idle)),
+                let (outcome, load) = match sent {
+                    Some((member, receiver)) => {
+                        let outcome = channel_handle::outcome(receiver).await;
+                        (outcome, node.own_load(&member))
+                    }
+                    None => (Err(failure(ErrorCode::Aborted, Cause::Idle)), None),
                 };
                 drop(held);
-                send_outcome(&answers, id, outcome, writes);
+                send_outcome(&answers, id, outcome, load, writes);
             });
         }
         body => {
@@ -208,8 +215,14 @@
 
 /// Answers a statement. If its answer is too large for a frame, or there is no memory for it, the caller
 /// is told only that.
-fn send_outcome(answers: &FrameSender, id: CallId, outcome: Outcome, writes: bool) {
-    let body = Response::Outcome(outcome);
+fn send_outcome(
+    answers: &FrameSender,
+    id: CallId,
+    outcome: Outcome,
+    load: Option<MemberLoad>,
+    writes: bool,
+) {
+    let body = Response::Outcome(outcome, load);
     match link::encode(&WithId { id, body }) {
         Ok(frame) => {
             if !send_frame(answers, frame, true) {
@@ -219,7 +232,7 @@
                     ErrorCode::Aborted
                 };
                 let refused = Err(failure(code, Cause::Reply));
-                send_answer(answers, id, Response::Outcome(refused));
+                send_answer(answers, id, Response::Outcome(refused, load));
             }
         }
         Err(error) => {
@@ -230,7 +243,7 @@
                 ErrorCode::TooLarge
             };
             let refused = Err(failure(code, Cause::Peer));
-            send_answer(answers, id, Response::Outcome(refused));
+            send_answer(answers, id, Response::Outcome(refused, load));
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 
 use crate::model::client_refusal::ClientRefusal;
 use crate::model::outcome::Failure;
+use crate::policy::pace::WindowCause;
 use crate::policy::refusal::Refusal;
 
 /// Further series are dropped, so that names sent by clients cannot grow memory without bound.
@@ -81,6 +82,11 @@
         text
     }
 
+    fn remove(&self, series: &str) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        counters.remove(series);
+    }
+
     fn record(&self, line: &str) -> Option<()> {
         let (name, rest) = line.split_once(':')?;
         let mut parts = rest.split('|');
@@ -123,7 +129,8 @@
             if counters.len() >= MAX_SERIES && !counters.contains_key(&series) {
                 return None;
             }
-            *counters.entry(series).or_default() += value;
+            let counter = counters.entry(series).or_default();
+            *counter = if kind == "g" { value } else { *counter + value };
         }
         Some(())
     }
@@ -189,6 +196,34 @@
         metric.with_tag("priority", &priority.to_string()).send();
     }
 
+    /// Records the number of statements that may be in flight at a member.
+    pub fn record_window(&self, member: &str, window: u32) {
+        let metric = self
+            .client
+            .gauge_with_tags("member_window", u64::from(window));
+        metric.with_tag("member", &label(member)).send();
+    }
+
+    /// Removes the window of a member that has left, so that series do not accumulate.
+    pub fn remove_window(&self, member: &str) {
+        let label = label(member);
+        let series = format!("magnoliahatch_member_window{{member=\"{label}\"}}");
+        self.registry.remove(&series);
+    }
+
+    /// Counts a choice of a member for a read, by what was known of that member.
+    pub fn count_choice(&self, reported: bool) {
+        let metric = self.client.count_with_tags("read_choices", 1);
+        let basis = if reported { "report" } else { "own" };
+        metric.with_tag("basis", basis).send();
+    }
+
+    /// Counts a change of the window of a member.
+    pub fn count_window_change(&self, cause: WindowCause) {
+        let metric = self.client.count_with_tags("member_window_changes", 1);
+        metric.with_tag("cause", cause.label()).send();
+    }
+
     /// Counts a statement that failed.
     pub fn count_failure(&self, route: &str, error: &Failure) {
         let code = format!("{:?}", error.code);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,6 +25,7 @@
 use crate::model::configuration::Configuration;
 use crate::model::error_code::ErrorCode;
 use crate::model::kind::ObjectKind;
+use crate::model::member_load::MemberLoad;
 use crate::model::outcome::Cause;
 use crate::model::outcome::Failure;
 use crate::model::outcome::failure;
@@ -75,7 +76,7 @@
     pub mesh: Rc<MeshHandle>,
     pub pools: PoolTable<P>,
     pub quota: QuotaTokens,
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     pub loads: MemberLoads,
     pub retries: RefCell<RetryBudgets>,
     pub floors: ReadFloors,
@@ -111,6 +112,7 @@
             .map(|usage| UsageState::new(host.clone(), incarnation, usage));
         let limits = settings.clients;
         let memory = ClientMemory::new(limits.max_bytes);
+        let metrics = Rc::new(Metrics::open());
         Rc::new(Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -120,9 +122,9 @@
             view: RefCell::default(),
             changed: watch::channel(0).0,
             mesh: MeshHandle::open(host, incarnation, memory.clone()),
-            pools: PoolTable::default(),
+            pools: PoolTable::new(metrics.clone()),
             quota: QuotaTokens::default(),
-            metrics: Metrics::open(),
+            metrics,
             loads: MemberLoads::default(),
             retries: RefCell::default(),
             floors: ReadFloors::default(),
@@ -292,6 +294,12 @@
         Ok(pool)
     }
 
+    /// The load of a member to which this host sends statements itself; `None` if it cannot be reached.
+    pub fn own_load(&self, member: &str) -> Option<MemberLoad> {
+        let pool = self.pools.find(member)?;
+        (!pool.is_failing()).then(|| pool.load())
+    }
+
     /// Whether a member has been leaving, that is draining or evacuated, for longer than it may be used.
     pub fn has_left(&self, member: &str, leaving: bool, now: Duration) -> bool {
         let mut members = self.leaving_members.borrow_mut();
--- a/crates/gateway/tests/frame_codec.rs
+++ b/crates/gateway/tests/frame_codec.rs
@@ -41,11 +41,12 @@
 }
 
 fn outcome(length: usize) -> Response {
-    Response::Outcome(Ok(Answer {
+    let answer = Answer {
         rows: vec![Bytes::from(vec![b'x'; length])],
         proof: Bytes::new(),
         position: None,
-    }))
+    };
+    Response::Outcome(Ok(answer), None)
 }
 
 fn on_wire<T: Serialize>(id: u64, body: T) -> BytesMut {
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -59,3 +59,19 @@
     ];
     assert_eq!(lines, expected);
 }
+
+/// Guards against a window that is added to the former one, and against series of members that have
+/// left, which would use up the limit of series.
+#[test]
+fn windows_are_replaced_and_removed() {
+    let metrics = Metrics::open();
+    let text = || metrics.registry().text();
+    metrics.record_window("m-a,1", 4);
+    metrics.record_window("m-a,1", 2);
+    assert_eq!(
+        text(),
+        "magnoliahatch_member_window{member=\"m-a%2C1\"} 2\n"
+    );
+    metrics.remove_window("m-a,1");
+    assert_eq!(text(), "");
+}
