--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -47,6 +47,7 @@
 pub mod store_watchers;
 pub mod successor;
 pub mod token_demand;
+pub mod urgent_share;
 pub mod usage_counts;
 pub mod usage_duty;
 pub mod usage_settings;
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -23,6 +23,7 @@
 use crate::policy::quota::QuotaTable;
 use crate::policy::requesting_hosts::RequestingHosts;
 use crate::policy::token_demand::TokenDemand;
+use crate::policy::urgent_share::UrgentShare;
 
 /// Unused tokens are dropped after this time, so that they are not used long after the window in
 /// which they were granted.
@@ -37,10 +38,14 @@
 /// Time limit of a call for tokens, far above the longest round trip between regions.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Priority of requests of a host that does not rank its operations.
+const UNRANKED: u32 = u32::MAX;
+
 /// Tokens of all organisations: those that this host grants as an owner, and unused ones that it
 /// was granted.
 #[derive(Debug, Default)]
 pub struct QuotaTokens {
+    urgent_share: RefCell<UrgentShare>,
     table: RefCell<QuotaTable>,
     held: RefCell<BTreeMap<OrganisationId, HeldTokens>>,
     callers: RefCell<BTreeMap<OrganisationId, RequestingHosts>>,
@@ -118,14 +123,21 @@
         if organisation == ANONYMOUS {
             return true;
         }
-        let ranked = node.configuration().is_some_and(|c| c.ranks_operations());
-        // Without ranks all operations are of one class.
-        let class = if ranked { priority } else { 0 };
+        self.urgent_share.borrow_mut().record(priority);
+        let ranked = self.is_ranked(node);
+        // Without ranks all operations are of one class. Owners that rank them must not prefer it.
+        let class = if ranked { priority } else { UNRANKED };
         let granted = self.take_class(node, organisation, class, ranked).await;
         node.metrics.count_rate(priority, granted);
         granted
     }
 
+    /// Whether the rates of organisations are granted by priority.
+    fn is_ranked<P: Platform>(&self, node: &Node<P>) -> bool {
+        let configured = node.configuration().is_some_and(|c| c.ranks_operations());
+        configured && self.urgent_share.borrow().ranks_operations()
+    }
+
     async fn take_class<P: Platform>(
         &self,
         node: &Rc<Node<P>>,
@@ -265,7 +277,7 @@
         };
         let now = clock::now();
         let mut table = self.table.borrow_mut();
-        if !configuration.ranks_operations() {
+        if !self.is_ranked(node) {
             let take = |r: &TokenRequest| table.take(organisation, rate, share, r.wanted, now);
             return requests.iter().map(take).collect();
         }
