--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -83,8 +83,8 @@
     }
 
     fn remove(&self, series: &str) {
-        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        counters.remove(series);
+        let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        gauges.remove(series);
     }
 
     fn record(&self, line: &str) -> Option<()> {
@@ -129,8 +129,7 @@
             if counters.len() >= MAX_SERIES && !counters.contains_key(&series) {
                 return None;
             }
-            let counter = counters.entry(series).or_default();
-            *counter = if kind == "g" { value } else { *counter + value };
+            *counters.entry(series).or_default() += value;
         }
         Some(())
     }
