--- a/crates/gateway/tests/urgent_share.rs
+++ b/crates/gateway/tests/urgent_share.rs
@@ -18,8 +18,8 @@
     assert!(share(10_000, 7).ranks_operations());
 }
 
-/// Load: a route of priority 0 that hardly any operation uses. Guards against reserves for it: they cost
-/// the other operations a third more refusals on tearoom-bookings-grown.
+/// Load: a route of priority 0 that hardly any operation uses. Guards against reserves for it, which
+/// refuse other operations.
 #[test]
 fn rare_operations_of_the_highest_priority_rank_nothing() {
     assert!(!share(10_000, 100).ranks_operations());
