Give a new owner of a rate one token, and rank from a fiftieth on

Clients saw: the first operation at a new owner of a rate was refused, since its bucket began empty (statement_on_another_hosts_connection_is_ answered_before_the_end failed with BUSY Rate after the buckets of other owners were dropped). One token for each change of owner is within the allowed excess.

--- a/crates/gateway/src/policy/urgent_share.rs
+++ b/crates/gateway/src/policy/urgent_share.rs
@@ -2,7 +2,7 @@
 
 /// Operations of priority 0 among all from which their priority matters: one in this many. A
 /// configuration may hold routes of priority 0 that hardly any operation uses.
-const MIN_SHARE_DIVISOR: u32 = 20;
+const MIN_SHARE_DIVISOR: u32 = 50;
 /// Number of operations from which the share is known. Until then the configuration alone decides, so
 /// that a host that has just started serves worthy operations first.
 const MIN_COUNT: u32 = 8;
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -38,6 +38,10 @@
 /// Time limit of a call for tokens, far above the longest round trip between regions.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Tokens of a bucket that begins with a change of owner. The former owner may just have spent the burst,
+/// but without any the first operation at the new owner is refused. The allowed excess of 20 operations
+/// in 5 s covers as many changes.
+const FIRST_TOKENS: f64 = 1.0;
 /// Priority of requests of a host that does not rank its operations.
 const UNRANKED: u32 = u32::MAX;
 
@@ -107,9 +111,20 @@
             callers.record(from, now);
             callers.share(all, now)
         };
+        self.open_bucket(node, organisation);
         self.take_local(node, organisation, share, requests)
     }
 
+    /// Gives a new owner of a rate its first tokens.
+    fn open_bucket<P: Platform>(&self, node: &Node<P>, organisation: &str) {
+        let configuration = node.configuration();
+        let rate = configuration.and_then(|c| c.rates.get(organisation).copied());
+        let mut table = self.table.borrow_mut();
+        if let Some(rate) = rate.filter(|_| !table.contains(organisation)) {
+            table.fill(organisation, rate, FIRST_TOKENS, clock::now());
+        }
+    }
+
     /// Takes one token for an operation on a route of this priority. Returns whether there was one;
     /// anonymous operations need none.
     /// A host that has just started tries for a short time to reach the owner of the rate, which may
