--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -43,8 +43,9 @@
             return Vec::new();
         }
         if self.has_same_objects(&listing) {
-            if self.missing_content > self.content_revision {
-                // Otherwise the same report would cause this list again.
+            // Otherwise peers would take their copies, which lack this host's own writes, for
+            // current, and an incomplete report would cause this list again.
+            if self.has_unreported_write() || self.missing_content > self.content_revision {
                 self.content_revision = listing.revision;
                 self.removals.restart(listing.revision);
             }
@@ -85,6 +86,12 @@
             && listing.objects.iter().all(is_known)
     }
 
+    /// Whether the copy contains a write of this host that peers are not told of yet.
+    fn has_unreported_write(&self) -> bool {
+        let mut objects = self.objects.values();
+        objects.any(|o| o.revision > self.content_revision)
+    }
+
     /// Applies changes that were requested at `sent`. Returns the removed objects.
     pub fn on_changes(&mut self, changes: Changes, sent: Duration) -> Vec<Object> {
         let mut removed = Vec::new();
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -72,6 +72,26 @@
     assert!(follower.objects.contains_key("theirs"));
 }
 
+/// Guards against followers that count a former primary record as current, because the host that
+/// replaced it hears of its own write from a list and not from its watch (review/7).
+#[test]
+fn own_write_that_a_list_confirms_reaches_followers() {
+    let mut writer = KindView::default();
+    writer.on_listing(listing(40, vec![object("ledger", 30)]), seconds(1));
+    let mut follower = KindView::default();
+    follower.on_listing(listing(40, vec![object("ledger", 30)]), seconds(1));
+
+    writer.on_written(object("ledger", 50));
+    writer.on_listing(listing(52, vec![object("ledger", 50)]), seconds(2));
+    let report = writer
+        .report(ObjectKind::Primaries, follower.content_revision, seconds(3))
+        .expect("the writer has listed");
+    follower.on_report(report, seconds(2));
+
+    assert_eq!(follower.objects["ledger"].revision, 50);
+    assert_eq!(follower.age(seconds(3)), Some(seconds(1)));
+}
+
 /// A host must not lose its own registration because a peer has not seen it yet.
 #[test]
 fn report_of_an_older_copy_keeps_a_newer_own_write() {
