Continue a watch from before an answer without changes

What could be seen: a change made while a store that drops its history ends a watch by its time limit was never heard of; for hosts, members and evacuations nothing lists the kind again until the watch gets 410. Cause: an empty answer moved the revision from which the next watch continues. Change: KindView keeps a watch revision, which lags one answer behind after an empty one. The store is called as often as before. Evidence: the new test watch_continues_from_before_an_answer_without_changes fails with the lag taken out (the next watch continues from 52 in place of 40).

--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -104,7 +104,7 @@
         return Ok(());
     }
     let sent = clock::now();
-    let from = node.view.borrow().revision(kind);
+    let from = node.view.borrow().watch_revision(kind);
     let changes = node.store.watch(kind, from, WATCH_TIMEOUT).await?;
     let changed = !changes.changes.is_empty();
     node.view
--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -19,8 +19,12 @@
 #[derive(Debug, Default)]
 pub struct KindView {
     pub objects: BTreeMap<String, Object>,
-    /// Store revision up to which changes are included. Watches continue from it.
+    /// Store revision up to which changes are included.
     pub revision: Revision,
+    /// Store revision from which the next watch continues. After an answer without changes it is
+    /// the revision of the answer before: a store that drops its history may end a watch without
+    /// the changes that it missed.
+    pub watch_revision: Revision,
     /// Store revision of the last change to the objects, by which peers compare their copies.
     pub content_revision: Revision,
     /// Store revision of the last list. While the store's revision is the same, the list is
@@ -49,9 +53,7 @@
                 self.content_revision = listing.revision;
                 self.removals.restart(listing.revision);
             }
-            self.revision = listing.revision;
-            self.listed_revision = listing.revision;
-            self.current_at = self.current_at.max(Some(sent));
+            self.on_listed(listing.revision, sent);
             return Vec::new();
         }
         let mut previous = std::mem::take(&mut self.objects);
@@ -67,14 +69,19 @@
             }
             !newer
         });
-        self.revision = listing.revision;
-        self.listed_revision = listing.revision;
         self.content_revision = listing.revision;
-        self.current_at = self.current_at.max(Some(sent));
         self.removals.restart(listing.revision);
+        self.on_listed(listing.revision, sent);
         previous.into_values().collect()
     }
 
+    fn on_listed(&mut self, revision: Revision, sent: Duration) {
+        self.revision = revision;
+        self.watch_revision = revision;
+        self.listed_revision = revision;
+        self.current_at = self.current_at.max(Some(sent));
+    }
+
     /// Whether a list contains just the known objects, so that peers need not be told of it.
     fn has_same_objects(&self, listing: &Listing) -> bool {
         let is_known = |o: &Object| {
@@ -95,8 +102,10 @@
     /// Applies changes that were requested at `sent`. Returns the removed objects.
     pub fn on_changes(&mut self, changes: Changes, sent: Duration) -> Vec<Object> {
         let mut removed = Vec::new();
+        self.watch_revision = self.revision;
         if !changes.changes.is_empty() {
             self.content_revision = self.content_revision.max(changes.revision);
+            self.watch_revision = self.revision.max(changes.revision);
         }
         for change in changes.changes {
             match change {
@@ -174,6 +183,7 @@
             }
             self.content_revision = report.content;
             self.revision = self.revision.max(report.content);
+            self.watch_revision = self.watch_revision.max(report.content);
         }
         // If this copy is newer than the peer's, it was current at that time as well.
         self.current_at = self.current_at.max(Some(at));
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -50,8 +50,9 @@
         self.kinds.get(&kind)
     }
 
-    pub fn revision(&self, kind: ObjectKind) -> Revision {
-        self.kinds.get(&kind).map_or(0, |k| k.revision)
+    /// Store revision from which a watch of the kind continues.
+    pub fn watch_revision(&self, kind: ObjectKind) -> Revision {
+        self.kinds.get(&kind).map_or(0, |k| k.watch_revision)
     }
 
     /// Returns the content revision of each kind.
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -169,6 +169,24 @@
     assert_eq!(view.age(seconds(3)), Some(seconds(1)));
 }
 
+/// Guards against a change that no host ever learns of: a watch missed it while the store dropped its
+/// history, and ended by its time limit with a later revision.
+#[test]
+fn watch_continues_from_before_an_answer_without_changes() {
+    let mut view = KindView::default();
+    view.on_listing(listing(40, vec![]), seconds(1));
+    view.on_changes(changes(52, vec![]), seconds(2));
+    assert_eq!(view.watch_revision, 40);
+    view.on_changes(changes(55, vec![]), seconds(4));
+    assert_eq!(view.watch_revision, 52);
+    let missed = Change::Set(object("missed", 54));
+    view.on_changes(changes(55, vec![missed]), seconds(6));
+    assert_eq!(view.watch_revision, 55);
+    assert!(view.objects.contains_key("missed"));
+    let report = view.report(ObjectKind::Hosts, 40, seconds(6));
+    assert_eq!(report.expect("listed").objects.len(), 1);
+}
+
 /// Content that cannot be decoded must not replace a known configuration.
 #[test]
 fn undecodable_content_does_not_replace_known_content() {
