Ignore the answer of a watch that is older than a list

What could be seen: a removed object in use again, or a present one lost, until the next change of it. Cause: the poll of the revision lists a kind while its watch is open, so that an answer may be applied after a list that includes it; KindView::on_changes did not compare revisions. Change: changes below the revision of the last list are ignored. Evidence: the new test changes_older_than_a_list_are_ignored failed before (the copy held "removed" in place of "kept").

--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -99,8 +99,12 @@
         objects.any(|o| o.revision > self.content_revision)
     }
 
-    /// Applies changes that were requested at `sent`. Returns the removed objects.
+    /// Applies changes that were requested at `sent`. Returns the removed objects. Ignores changes
+    /// that are older than the last list, which includes them.
     pub fn on_changes(&mut self, changes: Changes, sent: Duration) -> Vec<Object> {
+        if changes.revision < self.listed_revision {
+            return Vec::new();
+        }
         let mut removed = Vec::new();
         self.watch_revision = self.revision;
         if !changes.changes.is_empty() {
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -187,6 +187,21 @@
     assert_eq!(report.expect("listed").objects.len(), 1);
 }
 
+/// Guards against a removed object that is in use again, and against one that is lost, because the
+/// answer of a watch arrives after a list that was made later.
+#[test]
+fn changes_older_than_a_list_are_ignored() {
+    let mut view = KindView::default();
+    view.on_listing(listing(20, vec![object("kept", 18)]), seconds(2));
+    let older = vec![
+        Change::Set(object("removed", 14)),
+        Change::Removed("kept".to_owned()),
+    ];
+    view.on_changes(changes(15, older), seconds(1));
+    assert_eq!(view.objects.keys().collect::<Vec<_>>(), ["kept"]);
+    assert_eq!(view.watch_revision, 20);
+}
+
 /// Content that cannot be decoded must not replace a known configuration.
 #[test]
 fn undecodable_content_does_not_replace_known_content() {
