--- a/crates/gateway/src/failover/quiesce.rs
+++ b/crates/gateway/src/failover/quiesce.rs
@@ -1,9 +1,11 @@
 //! Makes all hosts stop using the primary of a service.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use magnoliahatch_core::ids::HostId;
+use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::Revision;
 use magnoliahatch_core::position::LogPosition;
 use rand::seq::SliceRandom;
@@ -12,10 +14,12 @@
 use crate::mesh::call_error::CallError;
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
+use crate::model::kind::ObjectKind;
 use crate::node::MAX_HOST_LIST_AGE;
 use crate::node::Node;
 use crate::node::QUIESCE_TIMEOUT;
 use crate::platform::Platform;
+use crate::view::follower;
 
 /// Timeout of a quiesce call that is relayed by another host.
 const RELAY_CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -35,7 +39,8 @@
 }
 
 /// Waits until no host uses the primary by a record older than `revision`, which was written at
-/// `written`: each has confirmed, has ended, or has a view that is too old.
+/// `written`: each has confirmed, has ended, or has a view that is too old. The hosts are those that
+/// are registered once the record is written.
 pub async fn quiesce_hosts<P: Platform>(
     node: &Rc<Node<P>>,
     service: &str,
@@ -62,15 +67,16 @@
 
 impl<P: Platform> Quiesce<'_, P> {
     async fn run(&self) -> QuiesceReports {
-        let hosts: Vec<HostId> = {
-            let view = self.node.view.borrow();
-            let own = &self.node.settings.host;
-            let others = view.hosts().into_iter().map(|(id, _)| id.clone());
-            others.filter(|id| id != own).collect()
-        };
-        let remote = futures::future::join_all(hosts.iter().map(|h| self.quiesce_host(h)));
+        let known = self.other_processes();
+        let asked = self.quiesce_processes(&known);
+        let unknown = self.quiesce_unknown(&known);
         let local = self.node.quiesce(self.service, self.revision);
-        let (remote, local) = futures::join!(remote, local);
+        let (asked, unknown, local) = futures::join!(asked, unknown, local);
+        let all_known = unknown.is_some();
+        let remote: Vec<_> = asked
+            .into_iter()
+            .chain(unknown.into_iter().flatten())
+            .collect();
         // A host whose registration was removed recently may still use the primary by an older
         // view, until its list of hosts or its copy of the primary record is too old.
         let removed = self
@@ -86,7 +92,48 @@
         }
         QuiesceReports {
             acknowledged: remote.iter().copied().flatten().fold(local, Option::max),
-            complete: removed.is_none() && remote.iter().all(Option::is_some),
+            complete: all_known && removed.is_none() && remote.iter().all(Option::is_some),
+        }
+    }
+
+    /// The registered processes of other hosts, as far as this host knows.
+    fn other_processes(&self) -> BTreeSet<(HostId, Incarnation)> {
+        let view = self.node.view.borrow();
+        let hosts = view.hosts().into_iter();
+        hosts
+            .filter(|(id, _)| **id != self.node.settings.host)
+            .map(|(id, entry)| (id.clone(), entry.incarnation))
+            .collect()
+    }
+
+    async fn quiesce_processes(
+        &self,
+        processes: &BTreeSet<(HostId, Incarnation)>,
+    ) -> Vec<Option<Option<LogPosition>>> {
+        let calls = processes.iter().map(|(host, _)| self.quiesce_host(host));
+        futures::future::join_all(calls).await
+    }
+
+    /// Asks the processes that are registered in the store but not among the known ones: the list
+    /// of hosts may be older than the record. Those that register from now on use no primary by an
+    /// older record. Returns `None` if the list could not be read before the expiry.
+    async fn quiesce_unknown(
+        &self,
+        known: &BTreeSet<(HostId, Incarnation)>,
+    ) -> Option<Vec<Option<Option<LogPosition>>>> {
+        let left = self.expiry.saturating_sub(clock::now());
+        tokio::time::timeout(left, self.list_hosts()).await.ok()?;
+        let registered = self.other_processes();
+        let unknown = registered.difference(known).cloned().collect();
+        Some(self.quiesce_processes(&unknown).await)
+    }
+
+    /// Reads the list of hosts, trying again until the store answers.
+    async fn list_hosts(&self) {
+        let kind = ObjectKind::Hosts;
+        while let Err(error) = follower::list_kind(self.node, kind).await {
+            tracing::debug!(event = 619, ?kind, %error, "could not list the objects of a kind");
+            tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -32,6 +32,7 @@
 use crate::platform::Platform;
 use crate::policy::bounds::Bounds;
 use crate::policy::connection_count::ConnectionCount;
+use crate::policy::copy_times::CopyTimes;
 use crate::policy::homes;
 use crate::policy::retry_budgets::RetryBudgets;
 use crate::policy::store_admission::StoreAdmission;
@@ -333,21 +334,26 @@
     /// Whether a member may be used as the primary of a service. The view must be recent: a change
     /// of primary waits for hosts that do not answer only until their views are too old.
     pub fn may_use_primary(&self, service: &str, member: &str) -> bool {
+        let max_age = self.settings.bounds.max_primary_record_age();
+        let times = self.copy_times();
+        let allowed = times.allow_primary(clock::now(), max_age, MAX_HOST_LIST_AGE);
         let view = self.view.borrow();
-        let now = clock::now();
-        let within = |kind, limit| view.age(&[kind], now).is_some_and(|age| age <= limit);
-        let recent = within(
-            ObjectKind::Primaries,
-            self.settings.bounds.max_primary_record_age(),
-        ) && within(ObjectKind::Hosts, MAX_HOST_LIST_AGE);
-        let registered = view
-            .host(&self.settings.host)
-            .is_some_and(|h| h.incarnation == self.incarnation);
         let Some((record, revision)) = view.primary(service) else {
             return false;
         };
         let named = record.primary == member && record.change.is_none();
-        recent && registered && named && !self.primaries.is_blocked(service, revision)
+        allowed && named && !self.primaries.is_blocked(service, revision)
+    }
+
+    /// The times of this host's copies on which the use of a primary depends.
+    pub fn copy_times(&self) -> CopyTimes {
+        let view = self.view.borrow();
+        let current_at = |kind| view.kind(kind).and_then(|k| k.current_at);
+        CopyTimes {
+            records: current_at(ObjectKind::Primaries),
+            hosts: current_at(ObjectKind::Hosts),
+            registered: view.registered_since(&self.settings.host, self.incarnation),
+        }
     }
 
     /// Registers a use of a primary, if the primary may be used.
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod connection_count;
 pub mod connection_plan;
 pub mod connection_waiters;
+pub mod copy_times;
 pub mod duty_hosts;
 pub mod failover_trigger;
 pub mod fair_class;
--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -154,7 +154,11 @@
     }
 }
 
-async fn list_kind<P: Platform>(node: &Rc<Node<P>>, kind: ObjectKind) -> Result<(), StoreError> {
+/// Lists a kind in the store and applies the answer.
+pub async fn list_kind<P: Platform>(
+    node: &Rc<Node<P>>,
+    kind: ObjectKind,
+) -> Result<(), StoreError> {
     let sent = clock::now();
     let listing = node.store.list(kind).await?;
     warn_unreadable(
--- a/crates/gateway/src/view/registration.rs
+++ b/crates/gateway/src/view/registration.rs
@@ -11,6 +11,7 @@
 use crate::platform::Store;
 use crate::policy::backoff::Backoff;
 use crate::store_error::StoreError;
+use crate::view::follower;
 
 /// Registers this host, and registers it again whenever its entry is missing or outdated.
 pub async fn run<P: Platform>(node: Rc<Node<P>>) {
@@ -29,6 +30,7 @@
             match write_entry(&node, wanted).await {
                 Ok(()) => {
                     backoff.on_success();
+                    confirm_primaries(&node).await;
                 }
                 Err(error) => {
                     tracing::warn!(event = 608, %error, "could not register the host");
@@ -43,6 +45,24 @@
     }
 }
 
+/// Reads the records of the primaries if the copy is older than this host's registration, since
+/// they may not be used until then. Without an answer the host waits for the next copy of a peer.
+pub async fn confirm_primaries<P: Platform>(node: &Rc<Node<P>>) {
+    let times = node.copy_times();
+    // Without a copy the first view is still to come.
+    if times.records.is_none() || times.registered.is_none() || times.is_confirmed() {
+        return;
+    }
+    if let Err(error) = follower::list_kind(node, ObjectKind::Primaries).await {
+        tracing::debug!(
+            event = 619,
+            kind = ?ObjectKind::Primaries,
+            %error,
+            "could not list the objects of a kind"
+        );
+    }
+}
+
 /// Writes the entry once. A conflict shows the entry that has to be replaced, so that a host that
 /// starts need not read it first.
 async fn write_entry<P: Platform>(node: &Rc<Node<P>>, entry: HostEntry) -> Result<(), StoreError> {
--- a/crates/gateway/src/view/startup.rs
+++ b/crates/gateway/src/view/startup.rs
@@ -21,6 +21,7 @@
 use crate::policy::start_plan;
 use crate::policy::start_plan::StartPlan;
 use crate::view::follower;
+use crate::view::registration;
 
 /// At the first start of the whole system, time until the other hosts have registered.
 const FIRST_REGISTRATION_TIME: Duration = Duration::from_millis(700);
@@ -52,6 +53,7 @@
     let complete = node.view.borrow().is_complete(clock::now());
     tracing::info!(event = 686, ?plan, complete, "first view requested");
     node.admission.borrow_mut().on_started();
+    registration::confirm_primaries(&node).await;
 }
 
 /// Reads a page of the list of hosts, trying again until the store answers.
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -37,8 +37,8 @@
     cold: BTreeMap<MemberId, (Revision, Duration)>,
     /// When the registration of a host that was not leaving was last removed.
     last_unexpected_removal: Option<Duration>,
-    /// The process of each registered host.
-    processes: BTreeMap<HostId, Incarnation>,
+    /// The process of each registered host, and when it was first seen registered.
+    processes: BTreeMap<HostId, (Incarnation, Duration)>,
     /// When the process of a registered host was last replaced or removed.
     last_process_end: Option<Duration>,
     /// Number of changes of the list of hosts.
@@ -219,6 +219,12 @@
         self.last_unexpected_removal
     }
 
+    /// When a process was first seen registered, if it is registered now.
+    pub fn registered_since(&self, host: &str, incarnation: Incarnation) -> Option<Duration> {
+        let (registered, since) = self.processes.get(host)?;
+        (*registered == incarnation).then_some(*since)
+    }
+
     /// When the process of a registered host was last replaced or removed.
     pub fn last_process_end(&self) -> Option<Duration> {
         self.last_process_end
@@ -287,12 +293,17 @@
     }
 
     fn update_processes(&mut self, now: Duration) {
+        let since = |id: &HostId, incarnation| self.registered_since(id, incarnation);
         let hosts = self.hosts().into_iter();
-        let present: BTreeMap<HostId, Incarnation> = hosts
-            .map(|(id, entry)| (id.clone(), entry.incarnation))
+        let present: BTreeMap<HostId, (Incarnation, Duration)> = hosts
+            .map(|(id, entry)| {
+                let incarnation = entry.incarnation;
+                let since = since(id, incarnation).unwrap_or(now);
+                (id.clone(), (incarnation, since))
+            })
             .collect();
         let mut known = self.processes.iter();
-        if known.any(|(id, incarnation)| present.get(id) != Some(incarnation)) {
+        if known.any(|(id, process)| present.get(id) != Some(process)) {
             self.last_process_end = Some(now);
         }
         self.processes = present;
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -352,3 +352,40 @@
         assert_eq!(view.last_process_end(), Some(seconds(3)));
     }
 }
+
+/// Guards against a process whose registration counts from before it was removed: the holder of a
+/// change of primary that began in between has not asked it to stop (review/8).
+#[test]
+fn registration_counts_from_when_it_was_last_missing() {
+    let entry = |leaving| {
+        Content::Host(HostEntry {
+            mesh: ([10, 0, 0, 1], 90).into(),
+            data_centre: "a".to_owned(),
+            incarnation: 6,
+            capacity: 250,
+            leaving,
+        })
+    };
+    let host = |revision, leaving| Object {
+        name: "h1".to_owned(),
+        revision,
+        content: Some(entry(leaving)),
+    };
+    let kind = ObjectKind::Hosts;
+    let mut view = ViewState::default();
+    view.on_written(kind, host(5, false), seconds(1));
+    view.on_listing(
+        kind,
+        listing(5, vec![host(5, false)]),
+        seconds(2),
+        seconds(2),
+    );
+    view.on_written(kind, host(7, true), seconds(3));
+    assert_eq!(view.registered_since("h1", 6), Some(seconds(1)));
+    assert_eq!(view.registered_since("h1", 7), None);
+    let removal = changes(9, vec![Change::Removed("h1".to_owned())]);
+    view.on_changes(kind, removal, seconds(4), seconds(4));
+    assert_eq!(view.registered_since("h1", 6), None);
+    view.on_written(kind, host(11, false), seconds(6));
+    assert_eq!(view.registered_since("h1", 6), Some(seconds(6)));
+}
