--- a/crates/gateway/src/failover/primary_monitor.rs
+++ b/crates/gateway/src/failover/primary_monitor.rs
@@ -18,6 +18,7 @@
 use crate::mesh::frame::Call;
 use crate::mesh::frame::Response;
 use crate::model::kind::ObjectKind;
+use crate::model::known_member::KnownMember;
 use crate::model::object::Content;
 use crate::model::primary_record::PrimaryChange;
 use crate::model::primary_record::PrimaryRecord;
@@ -26,6 +27,7 @@
 use crate::platform::Store;
 use crate::policy::failover_trigger::FailoverTrigger;
 use crate::policy::failover_trigger::Observation;
+use crate::policy::service_members;
 
 /// Interval of the checks; well below the time after which a primary counts as failed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -143,6 +145,9 @@
         return;
     }
     *pending_change = None;
+    if record_members(node, service, &record, revision).await {
+        return;
+    }
     let seen = observe(node, service, &record).await;
     if let Some(reason) = trigger.observe(&record.primary, seen, now, clock::now()) {
         let primary = &record.primary;
@@ -285,21 +290,75 @@
     let record = PrimaryRecord {
         primary,
         change: None,
+        members: members_to_record(node, service, &[]),
     };
+    if write_record(node, service, &record, None).await {
+        let primary = &record.primary;
+        tracing::info!(event = 652, service, primary, "primary recorded");
+    }
+}
+
+/// Members that the record of a service is to list, given those that it lists now. None where no
+/// commit waits for a replica: any registered member may be promoted then.
+fn members_to_record<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &str,
+    known: &[KnownMember],
+) -> Vec<KnownMember> {
+    if !node.is_synchronous(service) {
+        return Vec::new();
+    }
+    let registered = node.view.borrow().registered_of(service);
+    service_members::merge(known, &registered)
+}
+
+/// Brings the members in the record up to date, for hosts that have not seen the registration of
+/// each. Returns whether the record was written.
+async fn record_members<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &str,
+    record: &PrimaryRecord,
+    revision: Revision,
+) -> bool {
+    let members = members_to_record(node, service, &record.members);
+    if members == record.members {
+        return false;
+    }
+    let count = members.len();
+    let record = PrimaryRecord {
+        members,
+        ..record.clone()
+    };
+    let written = write_record(node, service, &record, Some(revision)).await;
+    if written {
+        tracing::info!(event = 665, service, count, "members recorded");
+    }
+    written
+}
+
+/// Writes a record in which no change is open, if the present one has the revision `expected`.
+/// Returns false if that failed; it is tried again with the next check.
+async fn write_record<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &str,
+    record: &PrimaryRecord,
+    expected: Option<Revision>,
+) -> bool {
     let content = Content::Primary(record.clone());
-    match node
+    let written = node
         .store
-        .put(ObjectKind::Primaries, service, None, &content)
-        .await
-    {
+        .put(ObjectKind::Primaries, service, expected, &content);
+    match written.await {
         Ok(object) => {
-            let primary = &record.primary;
-            tracing::info!(event = 652, service, primary, "primary recorded");
             let mut view = node.view.borrow_mut();
             view.on_written(ObjectKind::Primaries, object, clock::now());
             drop(view);
             node.on_view_changed();
+            true
+        }
+        Err(error) => {
+            tracing::warn!(event = 653, service, %error, "could not record the primary");
+            false
         }
-        Err(error) => tracing::warn!(event = 653, service, %error, "could not record the primary"),
     }
 }
--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -28,6 +28,7 @@
 use crate::policy::promotion::OrderAnswer;
 use crate::policy::promotion::Promotion;
 use crate::policy::promotion::Step;
+use crate::policy::service_members;
 use crate::policy::successor;
 use crate::policy::successor::PromotionCandidate;
 use crate::policy::successor::PromotionRequirements;
@@ -290,7 +291,8 @@
 
     /// Returns all known members but the old primary, with the log positions they have received.
     /// Members that cannot be promoted are only asked with `ask_all`; those without a registration
-    /// are not used, so they give no answer.
+    /// are not used, so they give no answer. The record names members that this process has never
+    /// seen registered.
     async fn candidates(&self, old: &str, ask_all: bool) -> Vec<PromotionCandidate> {
         let mut candidates: Vec<PromotionCandidate> = {
             let view = self.node.view.borrow();
@@ -306,6 +308,17 @@
                 })
                 .collect()
         };
+        let registered = self.node.view.borrow().registered_of(self.service);
+        for missing in service_members::missing(&self.record.members, &registered) {
+            let member = &missing.member;
+            if member != old && candidates.iter().all(|c| c.member != *member) {
+                candidates.push(PromotionCandidate {
+                    member: member.clone(),
+                    eligible: false,
+                    received: None,
+                });
+            }
+        }
         let statuses = candidates.iter().map(async |c| {
             if !c.eligible && !ask_all {
                 return None;
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -25,7 +25,7 @@
 pub type ChannelId = u64;
 
 /// Version of these messages. Connections of hosts with another version are refused.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// Number of `Call::Run` and of `Response::Outcome` among their variants. These messages may be refused
 /// when the memory for clients is short; all others are needed to run the fleet.
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -8,6 +8,7 @@
 pub mod host_entry;
 pub mod job;
 pub mod kind;
+pub mod known_member;
 pub mod member_entry;
 pub mod member_load;
 pub mod member_status;
--- a/crates/gateway/src/model/primary_record.rs
+++ b/crates/gateway/src/model/primary_record.rs
@@ -6,11 +6,17 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::model::known_member::KnownMember;
+
 /// Which member may run writes. While `change` is set, none may.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrimaryRecord {
     pub primary: MemberId,
     pub change: Option<PrimaryChange>,
+    /// Members of the service that may hold acknowledged commits. Empty if commits do not wait for a
+    /// replica, and in records of hosts of a former version.
+    #[serde(default)]
+    pub members: Vec<KnownMember>,
 }
 
 /// A change of primary in progress.
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -41,6 +41,7 @@
 pub mod retry_budget;
 pub mod retry_budgets;
 pub mod sender_clock;
+pub mod service_members;
 pub mod service_time;
 pub mod service_times;
 pub mod start_plan;
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -13,6 +13,7 @@
 use crate::model::configuration::Configuration;
 use crate::model::host_entry::HostEntry;
 use crate::model::kind::ObjectKind;
+use crate::model::known_member::KnownMember;
 use crate::model::member_entry::MemberEntry;
 use crate::model::object::Changes;
 use crate::model::object::Content;
@@ -174,6 +175,18 @@
             .collect()
     }
 
+    /// Returns the registered members of a service, as its record lists them.
+    pub fn registered_of(&self, service: &str) -> Vec<KnownMember> {
+        let members = self.registered_members();
+        let members = members.filter(|(_, entry)| entry.service == service);
+        members
+            .map(|(id, entry)| KnownMember {
+                member: id.clone(),
+                address: entry.address,
+            })
+            .collect()
+    }
+
     fn registered_members(&self) -> impl Iterator<Item = (&MemberId, &MemberEntry)> {
         let view = self.kinds.get(&ObjectKind::Members).into_iter();
         view.flat_map(|k| &k.objects)
