Keep the duty of usage reports safe over a restore of the store

Cause: after the store has come back from an older copy, a former holder found itself in the record and could send with a token of its own beside a later holder, a record that was gone looked released, and a window could be reported again from the record that came back. Change: a record of the duty carries its era. By one that came back, or that is gone, nobody acts until the calls of a holder that has not heard of the restore are over, counted from when a host first saw the era. A host goes on from the newest record that it knew itself. Open: a holder that ended within a second after its last write may have sent a window that its successor reports again with other counts (docs/design/store-restore.md).

--- a/crates/gateway/src/policy/usage_duty.rs
+++ b/crates/gateway/src/policy/usage_duty.rs
@@ -3,6 +3,10 @@
 //! A report is written to the record of the duty before it is sent, by a write that succeeds only
 //! if nobody else has written. The revision of that write is the token of the calls that follow. A
 //! successor repeats the report that its predecessor may have sent.
+//!
+//! After the store has come back from an older copy, nobody acts by the record that came back, or
+//! creates one that is missing, until the calls of a holder that has not heard of it are over. The
+//! holder of the newest record that a host knows goes on from that record.
 
 use std::time::Duration;
 
@@ -11,6 +15,8 @@
 use magnoliahatch_core::ids::Revision;
 
 use crate::model::duty_record::DutyRecord;
+use crate::model::store_revision;
+use crate::model::store_revision::Era;
 use crate::model::usage_report::UsageReport;
 use crate::model::usage_report::WindowIndex;
 use crate::policy::usage_settings::UsageSettings;
@@ -94,6 +100,11 @@
     incarnation: Incarnation,
     settings: UsageSettings,
     known: Option<Known>,
+    /// Newest record that this host knew in a former era of the store, until a record is written in
+    /// the present one.
+    former: Option<(Revision, DutyRecord)>,
+    /// Highest era that this host has seen, and since when.
+    era: Option<(Era, Duration)>,
     /// Set after a write without a clear answer until the record has been read.
     unclear: bool,
     /// When this host's last write was sent.
@@ -115,6 +126,8 @@
             incarnation,
             settings,
             known: None,
+            former: None,
+            era: None,
             unclear: false,
             written: None,
             accepted: None,
@@ -124,15 +137,36 @@
         }
     }
 
-    /// The record as far as this host knows it.
+    /// The newest record that this host knows. It may be of a former era of the store.
     pub fn record(&self) -> Option<&(Revision, DutyRecord)> {
-        self.known.as_ref()?.stored.as_ref()
+        let stored = self.known.as_ref().and_then(|k| k.stored.as_ref());
+        self.former.as_ref().or(stored)
     }
 
     /// Whether the record names this process, as far as this host knows.
     pub fn is_holder(&self) -> bool {
-        let own = |r: &DutyRecord| r.holder == self.host && r.incarnation == self.incarnation;
-        self.record().is_some_and(|(_, r)| own(r) && !r.released)
+        let stored = self.known.as_ref().and_then(|k| k.stored.as_ref());
+        stored
+            .is_some_and(|(revision, r)| self.is_own(r) && !r.released && !r.is_restored(*revision))
+    }
+
+    fn is_own(&self, record: &DutyRecord) -> bool {
+        record.holder == self.host && record.incarnation == self.incarnation
+    }
+
+    /// Notes the era of an answer of the store. In a later one the record has to be read again.
+    pub fn on_era(&mut self, era: Era, now: Duration) {
+        if self.era.is_some_and(|(known, _)| era <= known) {
+            return;
+        }
+        let rose = self.era.is_some();
+        self.era = Some((era, now));
+        let stored = self.known.take().and_then(|known| known.stored);
+        let held = stored.filter(|(revision, record)| !record.is_restored(*revision));
+        if rose && held.is_some() {
+            self.former = held;
+        }
+        self.written = None;
     }
 
     /// Returns the next step. `next_report` returns the report of the first window after the given
@@ -226,9 +260,21 @@
         since: Duration,
         stored: Option<&(Revision, DutyRecord)>,
     ) -> DutyStep {
+        let base = self.record();
+        let is_lost = match stored {
+            Some((revision, record)) => record.is_restored(*revision),
+            None => self.former.is_some(),
+        };
+        // A former holder may not have seen the present era yet.
+        let since = match self.era {
+            Some((_, seen)) if is_lost => seen,
+            _ => since,
+        };
         let unchanged = now.saturating_sub(since);
-        let ended = match stored {
-            Some((_, record)) => situation.holder_ended || record.released,
+        let ended = match base {
+            Some((_, record)) => {
+                situation.holder_ended || record.released || (is_lost && self.is_own(record))
+            }
             // The first aggregator creates the record.
             None => situation.rank == Some(0),
         };
@@ -236,13 +282,13 @@
         let mut required = self.settings.lease.max(CALL_TIMEOUT) + WRITE_LIFETIME;
         if !ended {
             required += self.settings.window;
-        } else if stored.is_none() {
+        } else if base.is_none() {
             required = CREATE_DELAY;
         }
         if unchanged < required {
             return DutyStep::Wait;
         }
-        let former = stored.map(|(_, record)| record);
+        let former = base.map(|(_, record)| record);
         DutyStep::Write {
             expected: stored.map(|(revision, _)| *revision),
             record: DutyRecord {
@@ -251,12 +297,19 @@
                 released: false,
                 reported: former.and_then(|r| r.reported),
                 sending: former.and_then(|r| r.sending.clone()),
+                era: self.era.map_or(0, |(era, _)| era),
             },
         }
     }
 
     /// Records the result of a read; `None` if the record does not exist.
     pub fn on_read(&mut self, stored: Option<(Revision, DutyRecord)>, now: Duration) {
+        if let Some((revision, record)) = &stored {
+            self.on_era(store_revision::era(*revision), now);
+            if !record.is_restored(*revision) {
+                self.former = None;
+            }
+        }
         let revision = |s: &Option<(Revision, DutyRecord)>| s.as_ref().map(|(r, _)| *r);
         let since = match &self.known {
             Some(known) if revision(&known.stored) == revision(&stored) => known.since,
@@ -285,6 +338,7 @@
     ) {
         match outcome {
             WriteOutcome::Written(revision) => {
+                self.former = None;
                 self.known = Some(Known {
                     stored: Some((revision, record)),
                     since: now,
--- a/crates/gateway/src/usage/holder.rs
+++ b/crates/gateway/src/usage/holder.rs
@@ -10,6 +10,7 @@
 use crate::model::duty_record::DutyRecord;
 use crate::model::kind::ObjectKind;
 use crate::model::object::Content;
+use crate::model::store_revision;
 use crate::model::usage_report::UsageReport;
 use crate::model::usage_report::WindowIndex;
 use crate::node::Node;
@@ -142,6 +143,8 @@
         let now = clock::now();
         let stored = match listed {
             Ok(listing) => {
+                let era = store_revision::era(listing.revision);
+                self.usage.duty.borrow_mut().on_era(era, now);
                 let mut objects = listing.objects.into_iter();
                 match objects.find(|o| o.name == RECORD_NAME) {
                     None => Ok(None),
--- a/crates/gateway/tests/usage_duty/steps.rs
+++ b/crates/gateway/tests/usage_duty/steps.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use magnoliahatch_gateway::model::duty_record::DutyRecord;
+use magnoliahatch_gateway::model::store_revision::in_era;
 use magnoliahatch_gateway::model::usage_report::UsageReport;
 use magnoliahatch_gateway::policy::usage_duty::CallOutcome;
 use magnoliahatch_gateway::policy::usage_duty::DutySituation;
@@ -31,6 +32,7 @@
         released: false,
         reported: Some(6),
         sending: sending.map(report),
+        era: 0,
     }
 }
 
@@ -225,3 +227,114 @@
     let later = START + Duration::from_secs(60);
     assert_eq!(duty.next(later, &stopping, |_| None), DutyStep::Wait);
 }
+
+/// A record as it comes back in the second era: it was written in the first.
+fn restored(holder: &str, sending: Option<u64>) -> (u64, DutyRecord) {
+    let record = DutyRecord {
+        era: 1,
+        ..record(holder, sending)
+    };
+    (in_era(2, 40), record)
+}
+
+/// The time after `START` at which a host that sees the second era at `START` writes the record, and
+/// what it writes. The record that came back names `host-9`.
+fn write_after_restore(
+    duty: &mut UsageDuty,
+    situation: &DutySituation,
+) -> (Duration, Option<u64>, DutyRecord) {
+    for tick in 0..200 {
+        let after = millis(100 * tick);
+        let now = START + after;
+        match duty.next(now, situation, |_| None) {
+            DutyStep::Read => {
+                duty.on_era(2, now);
+                duty.on_read(Some(restored("host-9", Some(7))), now);
+            }
+            DutyStep::Wait => {}
+            DutyStep::Write { expected, record } => return (after, expected, record),
+            step => panic!("{step:?}"),
+        }
+    }
+    panic!("no write in 20 s");
+}
+
+/// Guards against a lower token after a higher one: a holder whose record came back sends nothing before
+/// the calls of a later holder, which may not have heard of the restore, are over.
+#[test]
+fn record_that_came_back_gives_no_duty() {
+    let mut duty = UsageDuty::new("host-9".to_owned(), 1, SETTINGS);
+    duty.on_era(1, START - millis(5000));
+    duty.on_read(
+        Some((in_era(1, 30), restored("host-9", None).1)),
+        START - millis(5000),
+    );
+    assert!(duty.is_holder());
+    duty.on_era(2, START);
+    duty.on_read(Some(restored("host-9", Some(7))), START);
+    assert!(!duty.is_holder());
+    let (after, expected, record) = write_after_restore(&mut duty, &FIRST);
+    assert!(after >= SETTINGS.lease + millis(1000));
+    assert_eq!((expected, record.era), (Some(in_era(2, 40)), 2));
+}
+
+/// Guards against a window that is reported twice with different counts: the last holder goes on from
+/// what it has sent, not from the record that came back.
+#[test]
+fn holder_goes_on_from_its_own_record_after_a_restore() {
+    let mut duty = UsageDuty::new("host-0".to_owned(), 1, SETTINGS);
+    duty.on_era(1, START - millis(5000));
+    let own = DutyRecord {
+        era: 1,
+        reported: Some(8),
+        ..record("host-0", Some(9))
+    };
+    duty.on_write(own, WriteOutcome::Written(in_era(1, 60)), START, START);
+    duty.on_call(9, CallOutcome::Accepted, START, START);
+    duty.on_era(2, START);
+    let (after, _, record) = write_after_restore(&mut duty, &FIRST);
+    assert!(after >= SETTINGS.lease + millis(1000));
+    assert_eq!(record.last_window(), Some(9));
+    duty.on_write(
+        record,
+        WriteOutcome::Written(in_era(2, 41)),
+        START,
+        START + after,
+    );
+    assert!(duty.is_holder());
+    let mut asked = None;
+    duty.next(START + millis(9000), &FIRST, |last| {
+        asked = last;
+        None
+    });
+    assert_eq!(asked, Some(9));
+}
+
+/// Guards against a record that is gone with what the store forgot, and that is taken for one that was
+/// never written.
+#[test]
+fn record_that_is_gone_is_not_created_at_once() {
+    let mut duty = UsageDuty::new("host-0".to_owned(), 1, SETTINGS);
+    duty.on_era(1, START - millis(5000));
+    let other = DutyRecord {
+        era: 1,
+        ..record("host-9", Some(9))
+    };
+    duty.on_read(Some((in_era(1, 60), other)), START - millis(5000));
+    for tick in 0..200 {
+        let now = START + millis(100 * tick);
+        match duty.next(now, &FIRST, |_| None) {
+            DutyStep::Read => {
+                duty.on_era(2, now);
+                duty.on_read(None, now);
+            }
+            DutyStep::Write { expected, record } => {
+                assert!(now - START >= SETTINGS.lease + millis(1000) + SETTINGS.window);
+                assert_eq!((expected, record.last_window()), (None, Some(9)));
+                return;
+            }
+            _ => {}
+        }
+    }
+    panic!("no write in 20 s");
+}
