--- a/crates/gateway/src/failover/record_repair.rs
+++ b/crates/gateway/src/failover/record_repair.rs
@@ -94,7 +94,10 @@
     );
     let members = primary_monitor::members_to_record(node, service, &known);
     let (primary, term, change) = match repair {
-        Repair::Wait => return RETRY_PAUSE,
+        Repair::Wait => {
+            node.metrics.count_repair("waited");
+            return RETRY_PAUSE;
+        }
         Repair::Record { primary, term } => (primary, term, None),
         Repair::Continue {
             primary,
@@ -119,8 +122,14 @@
     };
     let expected = stored.map(|(_, revision)| revision);
     if !primary_monitor::write_record(node, service, &record, expected).await {
+        node.metrics.count_repair("not_written");
         return RETRY_PAUSE;
     }
+    let outcome = match record.change {
+        Some(_) => "continued",
+        None => "recorded",
+    };
+    node.metrics.count_repair(outcome);
     let (primary, changing) = (&record.primary, record.change.is_some());
     tracing::info!(
         event = 667,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -171,6 +171,12 @@
         metric.with_tag("route", &label(route)).send();
     }
 
+    /// Counts a record of a primary that came back from a copy, by what became of it.
+    pub fn count_repair(&self, outcome: &str) {
+        let metric = self.client.count_with_tags("record_repairs", 1);
+        metric.with_tag("outcome", outcome).send();
+    }
+
     /// Adds to a counter of the usage reports.
     pub fn count_usage(&self, name: &str, count: u64) {
         if count > 0 {
