--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -386,7 +386,7 @@
             .stored_primary(self.service)
             .map(|(_, revision)| revision);
         // In a later era of the store this host's record is gone, whatever its copy holds.
-        let era = view.era().map_or(0, |(era, _)| era);
+        let era = view.eras().seen().map_or(0, |(era, _)| era);
         let newest = newest.unwrap_or(self.revision);
         Holding {
             written: self.revision,
--- a/crates/gateway/src/failover/record_repair.rs
+++ b/crates/gateway/src/failover/record_repair.rs
@@ -37,7 +37,7 @@
     let mut view = node.view.borrow_mut();
     view.on_era(era, clock::now());
     let present = view.primaries_era();
-    let former = view.former_primary(service);
+    let former = view.eras().record(service);
     let former = former.map(|f| (f.record.clone(), f.revision));
     let stored = view.stored_primary(service).filter(|(record, revision)| {
         !record.is_restored(*revision) && store_revision::era(*revision) < era
@@ -50,7 +50,7 @@
         blocked: node.primaries.blocked(service),
         former_era: match present.cmp(&era) {
             std::cmp::Ordering::Less => Some(present),
-            std::cmp::Ordering::Equal => view.former_era(),
+            std::cmp::Ordering::Equal => view.eras().former(),
             // The caller has yet to see the present era.
             std::cmp::Ordering::Greater => None,
         },
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -193,7 +193,8 @@
     /// Time from which no promotion that was ordered in a former era of the store can take effect:
     /// a holder that has not seen the present era stops when its record is too old.
     pub fn era_settles_at(&self) -> Duration {
-        let since = self.view.borrow().era().map_or(self.started, |(_, at)| at);
+        let seen = self.view.borrow().eras().seen();
+        let since = seen.map_or(self.started, |(_, at)| at);
         since + promoter::order_limit(self)
     }
 
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -1,5 +1,6 @@
 //! This host's view: a copy of the store, with the time at which it was last known to be current.
 
+pub mod eras;
 pub mod follower;
 pub mod host_cleanup;
 pub mod kind_view;
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use magnoliahatch_core::ids::DataCentreId;
 use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::MemberId;
@@ -12,7 +11,6 @@
 
 use crate::mesh::frame::KindReport;
 use crate::model::configuration::Configuration;
-use crate::model::former_record::FormerRecord;
 use crate::model::host_entry::HostEntry;
 use crate::model::kind::ObjectKind;
 use crate::model::known_member::KnownMember;
@@ -24,6 +22,7 @@
 use crate::model::primary_record::PrimaryRecord;
 use crate::model::store_revision;
 use crate::model::store_revision::Era;
+use crate::view::eras::Eras;
 use crate::view::kind_view::KindView;
 
 /// A member whose registration disappeared is still used for this long: registrations expire while
@@ -48,14 +47,7 @@
     last_process_end: Option<Duration>,
     /// Number of changes of the list of hosts.
     hosts_changes: u64,
-    /// Highest era of the store that this host has seen, and since when.
-    era: Option<(Era, Duration)>,
-    /// Era of the records of the primaries before the present one.
-    former_era: Option<Era>,
-    /// Records of primaries of former eras, until they are repaired in the present one.
-    former: BTreeMap<String, FormerRecord>,
-    /// Evacuations of the former era that are not written again, and when they disappeared.
-    lost_evacuations: BTreeMap<DataCentreId, Duration>,
+    eras: Eras,
 }
 
 impl ViewState {
@@ -98,8 +90,8 @@
     ) {
         let rose = self.on_revision_seen(kind, listing.revision, now);
         let removed = self.kind_mut(kind).on_listing(listing, sent);
-        if rose {
-            self.on_rise(kind, &removed, now);
+        if rose && kind == ObjectKind::Evacuations {
+            self.eras.keep_evacuations(&removed, now);
         }
         self.update_derived_state(kind, removed, now);
     }
@@ -138,8 +130,8 @@
         let rose = report.complete && self.on_revision_seen(kind, report.content, now);
         match self.kind_mut(kind).on_report(report, at) {
             Some(removed) => {
-                if rose {
-                    self.on_rise(kind, &removed, now);
+                if rose && kind == ObjectKind::Evacuations {
+                    self.eras.keep_evacuations(&removed, now);
                 }
                 if changed {
                     self.update_derived_state(kind, removed, now);
@@ -226,9 +218,8 @@
     /// copy a moment ago: the operator's writes are gone until they are written again.
     pub fn is_evacuated(&self, data_centre: &str, now: Duration) -> bool {
         let view = self.kinds.get(&ObjectKind::Evacuations);
-        let lost = self.lost_evacuations.get(data_centre);
         view.is_some_and(|k| k.objects.contains_key(data_centre))
-            || lost.is_some_and(|at| now.saturating_sub(*at) < EXPIRED_USE_LIMIT)
+            || self.eras.was_evacuated(data_centre, now)
     }
 
     /// Names of all registered hosts, also of those that are leaving.
@@ -277,7 +268,7 @@
     /// Returns the primary record of a service that holds at present, and its revision. It is the
     /// one of a former era until the record that came back from a copy is repaired.
     pub fn primary(&self, service: &str) -> Option<(&PrimaryRecord, Revision)> {
-        if let Some(former) = self.former.get(service) {
+        if let Some(former) = self.eras.record(service) {
             return Some((&former.record, former.revision));
         }
         let (record, revision) = self.stored_primary(service)?;
@@ -286,7 +277,7 @@
 
     /// When the record that `primary` returns was last known to be current.
     pub fn primary_current_at(&self, service: &str) -> Option<Duration> {
-        match self.former.get(service) {
+        match self.eras.record(service) {
             Some(former) => Some(former.current_at),
             None => self.kinds.get(&ObjectKind::Primaries)?.current_at,
         }
@@ -297,22 +288,16 @@
     pub fn is_primary_restored(&self, service: &str) -> bool {
         let stored = self.stored_primary(service);
         let restored = |(record, revision): (&PrimaryRecord, _)| record.is_restored(revision);
-        stored.map_or(self.former.contains_key(service), restored)
+        stored.map_or(self.eras.record(service).is_some(), restored)
     }
 
-    /// The record of a former era, if the present one is not repaired yet.
-    pub fn former_primary(&self, service: &str) -> Option<&FormerRecord> {
-        self.former.get(service)
+    pub fn eras(&self) -> &Eras {
+        &self.eras
     }
 
-    /// Era of the records of the primaries before the present one, if this process has seen it.
-    pub fn former_era(&self) -> Option<Era> {
-        self.former_era
-    }
-
-    /// Highest era of the store that this process has seen, and since when.
-    pub fn era(&self) -> Option<(Era, Duration)> {
-        self.era
+    /// Notes an era of the store.
+    pub fn on_era(&mut self, era: Era, now: Duration) {
+        self.eras.on_era(era, now);
     }
 
     /// Era of this host's copy of the records of the primaries.
@@ -338,17 +323,10 @@
         self.kinds.entry(kind).or_default()
     }
 
-    /// Notes an era of the store.
-    pub fn on_era(&mut self, era: Era, now: Duration) {
-        if self.era.is_none_or(|(known, _)| era > known) {
-            self.era = Some((era, now));
-        }
-    }
-
     /// Notes the era of a list or report. Returns whether it replaces a copy of a former era.
     fn on_revision_seen(&mut self, kind: ObjectKind, revision: Revision, now: Duration) -> bool {
         let era = store_revision::era(revision);
-        self.on_era(era, now);
+        self.eras.on_era(era, now);
         let Some(view) = self.kinds.get(&kind) else {
             return false;
         };
@@ -363,54 +341,19 @@
             "copy of a former era of the store replaced"
         );
         if kind == ObjectKind::Primaries {
-            self.former_era = Some(known);
-            self.keep_records();
+            self.eras.keep_records(known, view);
         }
         true
     }
 
-    /// Keeps the records that held in the era that ends.
-    fn keep_records(&mut self) {
-        let Some(view) = self.kinds.get(&ObjectKind::Primaries) else {
-            return;
-        };
-        for (service, object) in &view.objects {
-            let Some(Content::Primary(record)) = &object.content else {
-                continue;
-            };
-            let Some(current_at) = view.current_at else {
-                continue;
-            };
-            if !record.is_restored(object.revision) {
-                let former = FormerRecord {
-                    record: record.clone(),
-                    revision: object.revision,
-                    current_at,
-                };
-                self.former.insert(service.clone(), former);
-            }
-        }
-    }
-
-    /// Keeps what the operator or this host will write again, after a copy of a former era was
-    /// replaced.
-    fn on_rise(&mut self, kind: ObjectKind, removed: &[Object], now: Duration) {
-        if kind == ObjectKind::Evacuations {
-            let names = removed.iter().map(|o| (o.name.clone(), now));
-            self.lost_evacuations.extend(names);
-        }
-    }
-
     /// Forgets the records of former eras that are repaired.
-    fn forget_repaired_records(&mut self) {
-        let mut former = std::mem::take(&mut self.former);
-        former.retain(|service, _| self.is_restored_or_lost(service));
-        self.former = former;
-    }
-
-    fn is_restored_or_lost(&self, service: &str) -> bool {
-        let stored = self.stored_primary(service);
-        stored.is_none_or(|(record, revision)| record.is_restored(revision))
+    fn forget_former_records(&mut self) {
+        let mut eras = std::mem::take(&mut self.eras);
+        eras.forget_records(|service| {
+            let stored = self.stored_primary(service);
+            stored.is_some_and(|(record, revision)| !record.is_restored(revision))
+        });
+        self.eras = eras;
     }
 
     /// Updates the derived state after a change of a kind.
@@ -435,7 +378,7 @@
                 }
                 self.update_processes(now);
             }
-            ObjectKind::Primaries => self.forget_repaired_records(),
+            ObjectKind::Primaries => self.forget_former_records(),
             ObjectKind::Evacuations | ObjectKind::Duties => {}
         }
     }
