--- a/crates/gateway/src/failover/record_repair.rs
+++ b/crates/gateway/src/failover/record_repair.rs
@@ -16,7 +16,6 @@
 use crate::model::known_member::KnownMember;
 use crate::model::primary_record::PrimaryChange;
 use crate::model::primary_record::PrimaryRecord;
-use crate::model::store_revision;
 use crate::model::store_revision::Era;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -36,24 +35,12 @@
 pub fn own_knowledge<P: Platform>(node: &Node<P>, service: &str, era: Era) -> HostKnowledge {
     let mut view = node.view.borrow_mut();
     view.on_era(era, clock::now());
-    let present = view.primaries_era();
-    let former = view.eras().record(service);
-    let former = former.map(|f| (f.record.clone(), f.revision));
-    let stored = view.stored_primary(service).filter(|(record, revision)| {
-        !record.is_restored(*revision) && store_revision::era(*revision) < era
-    });
-    let stored = stored.map(|(record, revision)| (record.clone(), revision));
     HostKnowledge {
         host: node.settings.host.clone(),
         incarnation: node.incarnation,
-        record: stored.or(former),
+        record: view.record_before(service, era),
         blocked: node.primaries.blocked(service),
-        former_era: match present.cmp(&era) {
-            std::cmp::Ordering::Less => Some(present),
-            std::cmp::Ordering::Equal => view.eras().former(),
-            // The caller has yet to see the present era.
-            std::cmp::Ordering::Greater => None,
-        },
+        former_era: view.era_before(era),
     }
 }
 
--- a/crates/gateway/src/policy/promotion.rs
+++ b/crates/gateway/src/policy/promotion.rs
@@ -60,7 +60,7 @@
 /// is not running. So once an order may have been accepted, by this attempt or an earlier one of any
 /// host, the old primary is not used again: its writes could be missing from the promoted member's
 /// log. The change then ends only with a promoted member.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Promotion {
     /// Whether an order may have been accepted since the change began.
     may_be_accepted: bool,
--- a/crates/gateway/src/view/eras.rs
+++ b/crates/gateway/src/view/eras.rs
@@ -16,7 +16,7 @@
 const REWRITE_LIMIT: Duration = Duration::from_millis(2600);
 
 /// The eras that this host has seen, and what it still needs of the former ones.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Eras {
     /// Highest era of the store that this host has seen, and since when.
     seen: Option<(Era, Duration)>,
--- a/crates/gateway/src/view/kind_view.rs
+++ b/crates/gateway/src/view/kind_view.rs
@@ -17,7 +17,7 @@
 use crate::view::removal_log::RemovalLog;
 
 /// The objects of a kind, and when they were last known to be current.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct KindView {
     pub objects: BTreeMap<String, Object>,
     /// Store revision up to which changes are included.
--- a/crates/gateway/src/view/removal_log.rs
+++ b/crates/gateway/src/view/removal_log.rs
@@ -10,7 +10,7 @@
 const MAX_REMOVALS: usize = 256;
 
 /// Removals by the revision up to which they had happened, in order.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RemovalLog {
     /// All removals after this revision are in the log, but for those of objects that exist again.
     complete_since: Revision,
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -1,5 +1,6 @@
 //! This host's copies of all kinds of objects, and the state derived from them.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,7 +31,7 @@
 const EXPIRED_USE_LIMIT: Duration = Duration::from_millis(2600);
 
 /// This host's view of the store.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ViewState {
     kinds: BTreeMap<ObjectKind, KindView>,
     configuration: Option<Rc<Configuration>>,
@@ -300,6 +301,26 @@
         self.eras.on_era(era, now);
     }
 
+    /// Newest record of a service's primary that held in an era before `era`, with its revision.
+    pub fn record_before(&self, service: &str, era: Era) -> Option<(PrimaryRecord, Revision)> {
+        let stored = self.stored_primary(service).filter(|(record, revision)| {
+            !record.is_restored(*revision) && store_revision::era(*revision) < era
+        });
+        let stored = stored.map(|(record, revision)| (record.clone(), revision));
+        let former = self.eras.record(service);
+        stored.or_else(|| former.map(|f| (f.record.clone(), f.revision)))
+    }
+
+    /// Era of this host's copy of the records before it became one of `era`; `None` if it never was
+    /// of a former era, or is of a later one.
+    pub fn era_before(&self, era: Era) -> Option<Era> {
+        match self.primaries_era().cmp(&era) {
+            Ordering::Less => Some(self.primaries_era()),
+            Ordering::Equal => self.eras.former(),
+            Ordering::Greater => None,
+        }
+    }
+
     /// Era of this host's copy of the records of the primaries.
     pub fn primaries_era(&self) -> Era {
         let view = self.kinds.get(&ObjectKind::Primaries);
