Split host processes and promotion candidates from larger files

Change: view/host_processes.rs and failover/candidates.rs; no behaviour changes. Result: all tests of crates/gateway and platform pass (50 test binaries, debug build).

--- a/crates/gateway/src/failover/mod.rs
+++ b/crates/gateway/src/failover/mod.rs
@@ -1,5 +1,6 @@
 //! Primary monitoring and failover, which one host carries out for each service.
 
+pub mod candidates;
 pub mod primary_monitor;
 pub mod promoter;
 pub mod quiesce;
--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -12,6 +12,7 @@
 use magnoliahatch_core::ids::Term;
 
 use crate::clock;
+use crate::failover::candidates;
 use crate::failover::quiesce;
 use crate::member::control;
 use crate::model::command::Command;
@@ -29,9 +30,7 @@
 use crate::policy::promotion::OrderAnswer;
 use crate::policy::promotion::Promotion;
 use crate::policy::promotion::Step;
-use crate::policy::service_members;
 use crate::policy::successor;
-use crate::policy::successor::PromotionCandidate;
 use crate::policy::successor::PromotionRequirements;
 use crate::policy::successor::Successor;
 use crate::promote_error::PromoteError;
@@ -274,7 +273,13 @@
         }
         let until = clock::now() + CATCH_UP_LIMIT;
         loop {
-            let candidates = self.candidates(old, requirements.synchronous).await;
+            let candidates = candidates::ask(
+                self.node,
+                self.service,
+                &self.record,
+                requirements.synchronous,
+            )
+            .await;
             let found = successor::choose(&candidates, requirements);
             let late = clock::now() >= until;
             let service = self.service;
@@ -307,49 +312,6 @@
         }
     }
 
-    /// Returns all known members but the old primary, with the log positions they have received.
-    /// Members that cannot be promoted are only asked with `ask_all`; those without a registration
-    /// are not used, so they give no answer. The record names members that this process has never
-    /// seen registered.
-    async fn candidates(&self, old: &str, ask_all: bool) -> Vec<PromotionCandidate> {
-        let mut candidates: Vec<PromotionCandidate> = {
-            let view = self.node.view.borrow();
-            let members = view.known_members(self.service);
-            let others = members.into_iter().filter(|(id, _)| *id != old);
-            others
-                .map(|(id, entry)| PromotionCandidate {
-                    member: id.clone(),
-                    eligible: !entry.draining
-                        && view.registered(id).is_some()
-                        && !view.is_evacuated(&entry.data_centre, clock::now()),
-                    received: None,
-                })
-                .collect()
-        };
-        let registered = self.node.view.borrow().registered_of(self.service);
-        for missing in service_members::missing(&self.record.members, &registered) {
-            let member = &missing.member;
-            if member != old && candidates.iter().all(|c| c.member != *member) {
-                candidates.push(PromotionCandidate {
-                    member: member.clone(),
-                    eligible: false,
-                    received: None,
-                });
-            }
-        }
-        let statuses = candidates.iter().map(async |c| {
-            if !c.eligible && !ask_all {
-                return None;
-            }
-            control::status(self.node, &c.member).await
-        });
-        let answers = futures::future::join_all(statuses).await;
-        for (candidate, status) in candidates.iter_mut().zip(answers) {
-            candidate.received = status.map(|s| s.received);
-        }
-        candidates
-    }
-
     /// Orders the promotion of the recorded candidate.
     async fn order(&self, candidate: &str) -> Result<OrderAnswer, ReplacementError> {
         if clock::now() >= self.deadline {
--- a/crates/gateway/src/failover/quiesce.rs
+++ b/crates/gateway/src/failover/quiesce.rs
@@ -83,6 +83,7 @@
             .node
             .view
             .borrow()
+            .processes()
             .last_unexpected_removal()
             .map(|at| at + MAX_HOST_LIST_AGE);
         let removed = removed.filter(|expiry| *expiry > clock::now());
--- a/crates/gateway/src/failover/record_repair.rs
+++ b/crates/gateway/src/failover/record_repair.rs
@@ -136,7 +136,10 @@
 /// effect.
 fn has_ended_hosts<P: Platform>(node: &Node<P>) -> bool {
     let view = node.view.borrow();
-    let last = view.last_process_end().max(view.last_unexpected_removal());
+    let last = view
+        .processes()
+        .last_end()
+        .max(view.processes().last_unexpected_removal());
     last.is_some_and(|at| clock::now() < at + promoter::order_limit(node))
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -182,9 +182,9 @@
     /// on for a while.
     pub fn known_hosts_since(&self) -> Duration {
         let view = self.view.borrow();
-        let removal = view.last_unexpected_removal();
+        let removal = view.processes().last_unexpected_removal();
         let ends = [
-            view.last_process_end(),
+            view.processes().last_end(),
             removal.map(|at| at + MAX_HOST_LIST_AGE),
         ];
         ends.into_iter().flatten().fold(self.started, Duration::max)
@@ -365,7 +365,9 @@
         CopyTimes {
             records,
             hosts: view.kind(ObjectKind::Hosts).and_then(|k| k.current_at),
-            registered: view.registered_since(&self.settings.host, self.incarnation),
+            registered: view
+                .processes()
+                .since(&self.settings.host, self.incarnation),
         }
     }
 
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -3,6 +3,7 @@
 pub mod eras;
 pub mod follower;
 pub mod host_cleanup;
+pub mod host_processes;
 pub mod kind_view;
 pub mod registration;
 pub mod removal_log;
--- a/crates/gateway/src/view/view_state.rs
+++ b/crates/gateway/src/view/view_state.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use magnoliahatch_core::ids::HostId;
-use magnoliahatch_core::ids::Incarnation;
 use magnoliahatch_core::ids::MemberId;
 use magnoliahatch_core::ids::Revision;
 
@@ -24,6 +23,7 @@
 use crate::model::store_revision;
 use crate::model::store_revision::Era;
 use crate::view::eras::Eras;
+use crate::view::host_processes::HostProcesses;
 use crate::view::kind_view::KindView;
 
 /// A member whose registration disappeared is still used for this long: registrations expire while
@@ -40,12 +40,7 @@
     expired: BTreeMap<MemberId, (MemberEntry, Duration)>,
     /// Cold members, with the revision of their entry and the time until which they are cold.
     cold: BTreeMap<MemberId, (Revision, Duration)>,
-    /// When the registration of a host that was not leaving was last removed.
-    last_unexpected_removal: Option<Duration>,
-    /// The process of each registered host, and when it was first seen registered.
-    processes: BTreeMap<HostId, (Incarnation, Duration)>,
-    /// When the process of a registered host was last replaced or removed.
-    last_process_end: Option<Duration>,
+    processes: HostProcesses,
     /// Number of changes of the list of hosts.
     hosts_changes: u64,
     eras: Eras,
@@ -243,20 +238,9 @@
         self.hosts_changes
     }
 
-    /// When the registration of a host that was not leaving was last removed.
-    pub fn last_unexpected_removal(&self) -> Option<Duration> {
-        self.last_unexpected_removal
-    }
-
-    /// When a process was first seen registered, if it is registered now.
-    pub fn registered_since(&self, host: &str, incarnation: Incarnation) -> Option<Duration> {
-        let (registered, since) = self.processes.get(host)?;
-        (*registered == incarnation).then_some(*since)
-    }
-
-    /// When the process of a registered host was last replaced or removed.
-    pub fn last_process_end(&self) -> Option<Duration> {
-        self.last_process_end
+    /// Which processes are registered, and when others ended.
+    pub fn processes(&self) -> &HostProcesses {
+        &self.processes
     }
 
     pub fn host(&self, id: &str) -> Option<&HostEntry> {
@@ -392,12 +376,10 @@
             }
             ObjectKind::Hosts => {
                 self.hosts_changes += 1;
-                let staying =
-                    |o: &Object| matches!(&o.content, Some(Content::Host(h)) if !h.leaving);
-                if removed.iter().any(staying) {
-                    self.last_unexpected_removal = Some(now);
-                }
-                self.update_processes(now);
+                let present = self.hosts().into_iter();
+                let present = present.map(|(id, entry)| (id.clone(), entry.incarnation));
+                let present = present.collect();
+                self.processes.on_list(present, &removed, now);
             }
             ObjectKind::Primaries => self.forget_former_records(),
             ObjectKind::Evacuations | ObjectKind::Duties => {}
@@ -416,23 +398,6 @@
         self.expired = expired;
     }
 
-    fn update_processes(&mut self, now: Duration) {
-        let since = |id: &HostId, incarnation| self.registered_since(id, incarnation);
-        let hosts = self.hosts().into_iter();
-        let present: BTreeMap<HostId, (Incarnation, Duration)> = hosts
-            .map(|(id, entry)| {
-                let incarnation = entry.incarnation;
-                let since = since(id, incarnation).unwrap_or(now);
-                (id.clone(), (incarnation, since))
-            })
-            .collect();
-        let mut known = self.processes.iter();
-        if known.any(|(id, process)| present.get(id) != Some(process)) {
-            self.last_process_end = Some(now);
-        }
-        self.processes = present;
-    }
-
     /// Updates the cold members. An entry contains the remaining time, which is counted from when
     /// this host first sees the entry; the result may be too late, but never too early.
     fn update_cold(&mut self, now: Duration) {
--- a/crates/gateway/tests/change_model/host.rs
+++ b/crates/gateway/tests/change_model/host.rs
@@ -73,7 +73,8 @@
             hosts,
             registered: self
                 .view
-                .registered_since(&host_name(self.index), self.incarnation),
+                .processes()
+                .since(&host_name(self.index), self.incarnation),
         };
         let Some((record, revision)) = self.view.primary(SERVICE) else {
             return false;
--- a/crates/gateway/tests/change_model/world.rs
+++ b/crates/gateway/tests/change_model/world.rs
@@ -321,7 +321,8 @@
         };
         if host
             .view
-            .registered_since(&host_name(h), host.incarnation)
+            .processes()
+            .since(&host_name(h), host.incarnation)
             .is_some()
         {
             return false;
@@ -394,7 +395,7 @@
         host.view.on_listing(ObjectKind::Hosts, hosts, now, now);
         pending.extend(host.processes());
         let expiry = now + AFTER_LISTS + MAX_RECORD_AGE;
-        let removed = host.view.last_unexpected_removal();
+        let removed = host.view.processes().last_unexpected_removal();
         let mut earliest = removed.map_or(now, |at| expiry.min(at + MAX_HOSTS_AGE));
         if takeover {
             earliest = earliest.max(expiry);
@@ -606,8 +607,8 @@
             return false;
         };
         let (restored, revision) = (restored.clone(), revision);
-        let ended = host.view.last_process_end();
-        let ended = ended.max(host.view.last_unexpected_removal());
+        let ended = host.view.processes().last_end();
+        let ended = ended.max(host.view.processes().last_unexpected_removal());
         let settled = now >= host.settles_at();
         let incarnation = host.incarnation;
         let mut hosts = Vec::new();
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -319,7 +319,7 @@
         view.on_listing(ObjectKind::Hosts, list, seconds(1), seconds(1));
         let removal_change = changes(9, vec![Change::Removed("h1".to_owned())]);
         view.on_changes(ObjectKind::Hosts, removal_change, seconds(3), seconds(3));
-        assert_eq!(view.last_unexpected_removal(), removal);
+        assert_eq!(view.processes().last_unexpected_removal(), removal);
     }
 }
 
@@ -347,9 +347,9 @@
         let mut view = ViewState::default();
         let list = listing(5, vec![host(5, true)]);
         view.on_listing(kind, list, seconds(1), seconds(1));
-        assert_eq!(view.last_process_end(), None);
+        assert_eq!(view.processes().last_end(), None);
         view.on_changes(kind, changes(9, vec![end]), seconds(3), seconds(3));
-        assert_eq!(view.last_process_end(), Some(seconds(3)));
+        assert_eq!(view.processes().last_end(), Some(seconds(3)));
     }
 }
 
@@ -381,11 +381,11 @@
         seconds(2),
     );
     view.on_written(kind, host(7, true), seconds(3));
-    assert_eq!(view.registered_since("h1", 6), Some(seconds(1)));
-    assert_eq!(view.registered_since("h1", 7), None);
+    assert_eq!(view.processes().since("h1", 6), Some(seconds(1)));
+    assert_eq!(view.processes().since("h1", 7), None);
     let removal = changes(9, vec![Change::Removed("h1".to_owned())]);
     view.on_changes(kind, removal, seconds(4), seconds(4));
-    assert_eq!(view.registered_since("h1", 6), None);
+    assert_eq!(view.processes().since("h1", 6), None);
     view.on_written(kind, host(11, false), seconds(6));
-    assert_eq!(view.registered_since("h1", 6), Some(seconds(6)));
+    assert_eq!(view.processes().since("h1", 6), Some(seconds(6)));
 }
