Reset the connection of a promotion order that was given up

Cause: orders were sent on pooled connections, which are closed in order when a call is given up. The kernel then keeps repeating the unacknowledged bytes, so an order arrived 12.6 s after it was sent, after a later one of another host with a higher token. The check that the host still holds the change ended when the call began.

Change: orders and usage reports use one connection a call, which is reset unless a complete answer arrived, also if the task is cancelled or the process ends. The kernel drops unacknowledged bytes at the deadline. The deadline of an order is when another host may take the change over (Holding::order_deadline).

Why it works: nothing that the kernel holds survives a reset, and a path that holds bytes drops them with the connection. An order that the service has received and executes late remains possible; the wait for its effect covers three seconds.

--- a/crates/gateway/src/failover/promoter.rs
+++ b/crates/gateway/src/failover/promoter.rs
@@ -318,14 +318,14 @@
             return Err(ReplacementError::NoEffect);
         }
         let max_age = self.node.settings.bounds.max_primary_record_age();
-        if !self.holding().may_order(clock::now(), max_age) {
-            return Err(ReplacementError::Superseded);
-        }
+        let deadline = self.holding().order_deadline(clock::now(), max_age);
+        let deadline = deadline.ok_or(ReplacementError::Superseded)?;
         let order = PromotionOrder {
             service: self.service.to_owned(),
             member: candidate.to_owned(),
             holder: self.node.settings.host.clone(),
             fencing_token: self.revision,
+            deadline,
         };
         let Err(error) = self.node.store.promote(&order).await else {
             return Ok(OrderAnswer::Accepted);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,8 @@
 //! Protocol-neutral session engine: client sessions, connections to members, and the state that
 //! hosts share through the platform's store.
 
+pub mod bounded_call;
+pub mod bounded_call_error;
 pub mod client_memory;
 pub mod clock;
 pub mod failover;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -50,6 +50,9 @@
     pub holder: HostId,
     /// Increases each time that any host claims the duty.
     pub fencing_token: Revision,
+    /// Time of the process's clock after which the order must not arrive: another host may then
+    /// order a promotion.
+    pub deadline: Duration,
 }
 
 /// A call that brings a usage report to the platform.
@@ -59,6 +62,9 @@
     pub holder: HostId,
     /// Increases each time that any host writes the record of the duty.
     pub fencing_token: Revision,
+    /// Time of the process's clock after which the call must not arrive: another host may then send
+    /// reports.
+    pub deadline: Duration,
 }
 
 /// A client of the platform's store and of its calls.
@@ -104,9 +110,10 @@
         expected: Revision,
     ) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Requests a promotion.
+    /// Requests a promotion. The order must not be executed after an answer or an error was
+    /// returned, nor if the future is dropped.
     fn promote(&self, order: &PromotionOrder) -> impl Future<Output = Result<(), PromoteError>>;
 
-    /// Sends a usage report.
+    /// Sends a usage report, under the same condition.
     fn report_usage(&self, call: &UsageCall) -> impl Future<Output = Result<(), ReportError>>;
 }
--- a/crates/gateway/src/policy/promotion.rs
+++ b/crates/gateway/src/policy/promotion.rs
@@ -30,10 +30,12 @@
 }
 
 impl Holding {
-    /// Whether the host may order a promotion. Another host takes a change over by writing the
-    /// record, and waits for `max_age` after that before it sends an order of its own.
-    pub fn may_order(&self, now: Duration, max_age: Duration) -> bool {
-        self.newest <= self.written && now.saturating_sub(self.confirmed) <= max_age
+    /// Time until which an order of this host may arrive, or `None` if it must not order. Another
+    /// host takes a change over by writing the record, and waits for `max_age` after that before it
+    /// sends an order of its own.
+    pub fn order_deadline(&self, now: Duration, max_age: Duration) -> Option<Duration> {
+        let deadline = self.confirmed + max_age;
+        (self.newest <= self.written && now <= deadline).then_some(deadline)
     }
 }
 
--- a/crates/gateway/src/usage/holder.rs
+++ b/crates/gateway/src/usage/holder.rs
@@ -188,24 +188,18 @@
     async fn send(&self, report: UsageReport, token: Revision) {
         let window = report.window;
         let total: u64 = report.counts.values().sum();
+        let sent = clock::now();
         let call = UsageCall {
             report,
             holder: self.node.settings.host.clone(),
             fencing_token: token,
+            deadline: sent + usage_duty::CALL_TIMEOUT,
         };
         let metrics = &self.node.metrics;
         if self.last_sent.replace(Some(window)) == Some(window) {
             metrics.count_usage("usage_repeated_calls", 1);
         }
-        let sent = clock::now();
-        let answer = tokio::select! {
-            // After the process was suspended, the call must not begin any more.
-            biased;
-            () = tokio::time::sleep(usage_duty::CALL_TIMEOUT) => {
-                Err(ReportError::Unknown("no answer in time".to_owned()))
-            }
-            answer = self.node.store.report_usage(&call) => answer,
-        };
+        let answer = self.node.store.report_usage(&call).await;
         let now = clock::now();
         let outcome = match &answer {
             Ok(()) => CallOutcome::Accepted,
--- a/crates/gateway/tests/change_model/world.rs
+++ b/crates/gateway/tests/change_model/world.rs
@@ -555,9 +555,8 @@
 
     /// Sends an order. Returns `None` if the host may have lost the change.
     fn order(&mut self, host: &Host, task: &Task, member: &str, lose: bool) -> Option<OrderAnswer> {
-        if !host.holding(task).may_order(self.now, MAX_RECORD_AGE) {
-            return None;
-        }
+        host.holding(task)
+            .order_deadline(self.now, MAX_RECORD_AGE)?;
         let token = task.revision;
         if let Some((last, holder)) = self.last_order
             && (token < last || (token == last && holder != host.index))
--- a/crates/gateway/tests/promotion.rs
+++ b/crates/gateway/tests/promotion.rs
@@ -95,8 +95,8 @@
     assert_eq!(step, Step::Choose);
 }
 
-/// Guards against a holder that orders a promotion after another host has taken the change over and
-/// may have chosen another member.
+/// Guards against a holder whose order arrives after another host has taken the change over and may
+/// have chosen another member.
 #[test]
 fn holder_orders_nothing_once_another_host_may_order() {
     const MAX_AGE: Duration = Duration::from_secs(3);
@@ -105,14 +105,18 @@
         newest: 7,
         confirmed: Duration::from_secs(10),
     };
-    assert!(holding.may_order(Duration::from_secs(13), MAX_AGE));
+    let end = Duration::from_secs(13);
+    for now in [Duration::from_secs(10), end] {
+        assert_eq!(holding.order_deadline(now, MAX_AGE), Some(end));
+    }
     let too_old = Duration::from_millis(13_001);
-    assert!(!holding.may_order(too_old, MAX_AGE));
+    assert_eq!(holding.order_deadline(too_old, MAX_AGE), None);
     let taken_over = Holding {
         newest: 8,
         ..holding
     };
-    assert!(!taken_over.may_order(Duration::from_secs(10), MAX_AGE));
+    let now = Duration::from_secs(10);
+    assert_eq!(taken_over.order_deadline(now, MAX_AGE), None);
 }
 
 /// What happens next in a simulated change of primary.
