Replace a recorded primary that has become a replica

Cause: the monitor replaces a primary that is unregistered, unreachable or leaving, and never looked at whether it still leads.

No call is added while the registration is right.

--- a/crates/gateway/src/failover/primary_monitor.rs
+++ b/crates/gateway/src/failover/primary_monitor.rs
@@ -192,7 +192,7 @@
     service: &str,
     record: &PrimaryRecord,
 ) -> Observation {
-    let (registered, draining, evacuated) = {
+    let (registered, draining, evacuated, says_replica) = {
         let view = node.view.borrow();
         let entry = view.registered(&record.primary);
         let evacuated = view
@@ -202,17 +202,27 @@
             entry.is_some(),
             entry.is_some_and(|e| e.draining),
             evacuated,
+            entry.is_some_and(|e| !e.primary),
         )
     };
     let is_leaving = draining || evacuated;
+    // Registrations lag behind, for example after a change of primary.
+    let demoted = says_replica && !is_leaving && is_replica(node, &record.primary).await;
     Observation {
         registered,
         draining,
         evacuated,
         reachable: is_leaving || is_reachable(node, service, &record.primary).await,
+        demoted,
     }
 }
 
+/// Whether a member answers that it is a replica.
+async fn is_replica<P: Platform>(node: &Rc<Node<P>>, member: &str) -> bool {
+    let status = control::status(node, member).await;
+    status.is_some_and(|s| !s.primary)
+}
+
 /// Returns whether this host or another one can reach the primary.
 async fn is_reachable<P: Platform>(node: &Rc<Node<P>>, service: &str, primary: &str) -> bool {
     let home = node.home(primary, |_| true);
--- a/crates/gateway/src/policy/failover_trigger.rs
+++ b/crates/gateway/src/policy/failover_trigger.rs
@@ -10,6 +10,9 @@
 /// while the store is unavailable; it is renewed within two seconds of the store's return.
 const UNREGISTERED_LIMIT: Duration = Duration::from_millis(2600);
 
+/// A primary that says for this long that it is a replica has lost the lead for good.
+const DEMOTED_LIMIT: Duration = Duration::from_millis(500);
+
 /// Why a primary is replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailoverReason {
@@ -17,6 +20,8 @@
     Planned,
     /// No host can reach it, or its registration is missing.
     Failed,
+    /// It is a replica, although the record names it.
+    Demoted,
 }
 
 /// Observed state of the current primary.
@@ -27,14 +32,17 @@
     pub evacuated: bool,
     /// Whether it recently answered this host or another one.
     pub reachable: bool,
+    /// Whether it answered that it is a replica.
+    pub demoted: bool,
 }
 
-/// Tracks for how long the primary of one service has been unregistered or unreachable.
+/// Tracks for how long the primary of one service has been unregistered, unreachable or a replica.
 #[derive(Debug, Default)]
 pub struct FailoverTrigger {
     member: MemberId,
     unregistered_since: Option<Duration>,
     unreachable_since: Option<Duration>,
+    demoted_since: Option<Duration>,
 }
 
 impl FailoverTrigger {
@@ -62,10 +70,13 @@
         };
         let unregistered = duration(&mut self.unregistered_since, !seen.registered);
         let unreachable = duration(&mut self.unreachable_since, !seen.reachable);
+        let demoted = duration(&mut self.demoted_since, seen.demoted);
         if seen.registered && (seen.draining || seen.evacuated) {
             return Some(FailoverReason::Planned);
         }
-        (unregistered >= UNREGISTERED_LIMIT || unreachable >= UNREACHABLE_LIMIT)
-            .then_some(FailoverReason::Failed)
+        if unregistered >= UNREGISTERED_LIMIT || unreachable >= UNREACHABLE_LIMIT {
+            return Some(FailoverReason::Failed);
+        }
+        (demoted >= DEMOTED_LIMIT).then_some(FailoverReason::Demoted)
     }
 }
--- a/crates/gateway/tests/policy.rs
+++ b/crates/gateway/tests/policy.rs
@@ -429,6 +429,26 @@
     assert_eq!(late, Some(FailoverReason::Failed));
 }
 
+/// Guards against a recorded primary that stays recorded although another member leads (review/11). A
+/// single answer as a replica, for example during its start, must not be enough.
+#[test]
+fn primary_that_stays_a_replica_is_replaced() {
+    let demoted = Observation {
+        demoted: true,
+        ..healthy()
+    };
+    let mut trigger = FailoverTrigger::default();
+    for (at, seen, expected) in [
+        (0, demoted, None),
+        (200, healthy(), None),
+        (400, demoted, None),
+        (800, demoted, None),
+        (900, demoted, Some(FailoverReason::Demoted)),
+    ] {
+        assert_eq!(trigger.observe("m", seen, millis(at), millis(at)), expected);
+    }
+}
+
 /// Failed checks of the previous primary must not count against the new one.
 #[test]
 fn new_primary_starts_without_failed_checks() {
