Answer running statements until the last sixth of the grace period

Cause: STOP_FRACTION was 0.8. The contract protects what members answer within the first five sixths.

Change: policy/shutdown_schedule.rs holds the shares of the grace period, each with its reason. Running statements, of own clients and of other hosts, have eleven twelfths; idle sessions are waited for until 0.8 as before. A statement runs until its answer is sent. The last counts are sent while the registration is removed.

--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -120,16 +120,27 @@
         id: Bytes,
         statement: Statement,
     ) -> Result<(), SessionEnd> {
-        let started = clock::now();
         let running = self.node.running.clone();
         running.set(running.get() + 1);
+        let result = self.answer_query(connection, id, statement).await;
+        running.set(running.get() - 1);
+        result
+    }
+
+    /// Runs a statement and sends its outcome.
+    async fn answer_query(
+        &mut self,
+        connection: &mut ClientConnection<P>,
+        id: Bytes,
+        statement: Statement,
+    ) -> Result<(), SessionEnd> {
+        let started = clock::now();
         // A statement that runs ends within its time limit, and its outcome must be told.
         connection.held.set_pinned(true);
         let result = self
             .run_statement(&id, statement, &mut connection.held)
             .await;
         connection.held.set_pinned(false);
-        running.set(running.get() - 1);
         match result {
             Ok(Some(answer)) => {
                 connection.feed_rows(answer.rows).await?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::platform::Store;
 use crate::policy::restart;
 use crate::policy::restart::ProcessState;
+use crate::policy::shutdown_schedule::ShutdownSchedule;
 use crate::settings::Settings;
 use crate::shutdown_stage::ShutdownStage;
 use crate::start_error::StartError;
@@ -43,15 +44,6 @@
 /// Interval at which connection limits are updated. After a member's home moves to this host, the
 /// former home may hold the member's connections for up to this long.
 const LIMITS_INTERVAL: Duration = Duration::from_millis(500);
-/// Fraction of the grace period in which clients are still served. After it no new operation
-/// begins.
-const SERVE_FRACTION: f64 = 0.4;
-/// Fraction of the grace period, counted from the stop signal, after which open transactions are
-/// rolled back.
-const SESSION_FRACTION: f64 = 0.5;
-/// Fraction of the grace period, counted from the stop signal, after which the process stops
-/// waiting for running statements and ends.
-const STOP_FRACTION: f64 = 0.8;
 /// Number of hosts that a new process asks for their uptime. If only half of the fleet restarted,
 /// this is taken for a restart of the whole fleet in 1 of 256 cases, which costs no more than a
 /// second restart of the fleet.
@@ -144,28 +136,21 @@
     /// registration.
     pub async fn stop(self) {
         let started = clock::now();
-        let grace = self.node.bounds.get().grace;
+        let schedule = ShutdownSchedule::new(started, self.node.bounds.get().grace);
         self.node.stage.send_replace(ShutdownStage::Leaving);
         self.ready.store(false, Ordering::Relaxed);
         self.node.on_view_changed();
         let node = &self.node;
         let readiness_noticed = || clock::now().saturating_sub(started) >= READINESS_NOTICE_TIME;
-        wait_until(started + grace.mul_f64(SERVE_FRACTION), || {
-            readiness_noticed() && node.sessions.get() == 0
+        wait_until(|| {
+            clock::now() >= schedule.serve || (readiness_noticed() && node.sessions.get() == 0)
         })
         .await;
         node.stage.send_replace(ShutdownStage::Closing);
-        wait_until(started + grace.mul_f64(SESSION_FRACTION), || {
-            node.sessions.get() == 0
-        })
-        .await;
+        wait_until(|| clock::now() >= schedule.transactions || node.sessions.get() == 0).await;
         node.stage.send_replace(ShutdownStage::RollingBack);
-        wait_until(started + grace.mul_f64(STOP_FRACTION), || {
-            node.sessions.get() == 0 && node.running.get() == 0 && node.channels.get() == 0
-        })
-        .await;
-        sender::send_pending(&self.node).await;
-        self.unregister().await;
+        wait_until(|| schedule.may_end(clock::now(), node.open_work())).await;
+        futures::join!(sender::send_pending(node), self.unregister());
         let left = (self.node.sessions.get(), self.node.channels.get());
         let lines = log_limit::dropped_lines();
         tracing::info!(
@@ -203,8 +188,8 @@
         .map_err(|source| StartError::Listen { address, source })
 }
 
-async fn wait_until(end: Duration, done: impl Fn() -> bool) {
-    while clock::now() < end && !done() {
+async fn wait_until(done: impl Fn() -> bool) {
+    while !done() {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -75,7 +75,13 @@
     loop {
         let entry = match pending.take() {
             Some(entry) => Some(entry),
-            None => channel.next_job(&mut jobs).await,
+            None => {
+                let idle = &channel.node.clone().idle_channels;
+                idle.set(idle.get() + 1);
+                let entry = channel.next_job(&mut jobs).await;
+                idle.set(idle.get() - 1);
+                entry
+            }
         };
         let Some((job, reply)) = entry else { break };
         let outcome = channel.execute(job).await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -36,6 +36,7 @@
 use crate::policy::copy_times::CopyTimes;
 use crate::policy::homes;
 use crate::policy::retry_budgets::RetryBudgets;
+use crate::policy::shutdown_schedule::OpenWork;
 use crate::policy::store_admission::StoreAdmission;
 use crate::primary_use::PrimaryUse;
 use crate::primary_use::PrimaryUseGuard;
@@ -96,6 +97,8 @@
     pub running: Rc<Cell<u32>>,
     /// Number of channels that run on this host's connections.
     pub channels: Cell<u32>,
+    /// Number of these that wait for the next statement of their transaction.
+    pub idle_channels: Cell<u32>,
     pub primaries: Rc<PrimaryUse>,
     /// When this host first found a member draining or evacuated.
     leaving_members: RefCell<BTreeMap<MemberId, Duration>>,
@@ -142,6 +145,7 @@
             sessions: Cell::new(0),
             running: Rc::default(),
             channels: Cell::new(0),
+            idle_channels: Cell::new(0),
             primaries: Rc::default(),
             leaving_members: RefCell::default(),
             host_table: RefCell::default(),
@@ -213,6 +217,15 @@
         self.view.borrow().configuration()
     }
 
+    /// What a stop of this host has to wait for.
+    pub fn open_work(&self) -> OpenWork {
+        let (channels, idle) = (self.channels.get(), self.idle_channels.get());
+        OpenWork {
+            sessions: self.sessions.get() + idle,
+            statements: self.running.get() + channels.saturating_sub(idle),
+        }
+    }
+
     pub fn is_stopping(&self) -> bool {
         *self.stage.borrow() >= ShutdownStage::Leaving
     }
--- a/crates/gateway/src/policy/mod.rs
+++ b/crates/gateway/src/policy/mod.rs
@@ -45,6 +45,7 @@
 pub mod service_members;
 pub mod service_time;
 pub mod service_times;
+pub mod shutdown_schedule;
 pub mod start_plan;
 pub mod store_admission;
 pub mod store_watchers;
