Grant the tokens of a rate once, whoever owned it before

Causes, all of tokens granted by one host and kept by another: a former owner kept its bucket and granted the burst again when the rate came back; hosts kept their own shares, from a short silence of the owner, while the owner answered; with all owners leaving, each host granted the whole rate; a suspended process accrued tokens. Besides, a host that got a rate back took earlier callers for silent and refused organisations below their rate.

A host that loses a rate empties its bucket and hands the tokens over; the new owner subtracts what it has refilled meanwhile. A former owner asks the new one for hosts that have not heard. Shares accrue only from the first call without an answer. A process that did nothing for 1.5 s empties its buckets. Mesh protocol 6.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::policy::restart;
 use crate::policy::restart::ProcessState;
 use crate::policy::shutdown_schedule::ShutdownSchedule;
+use crate::rate_handover;
 use crate::settings::Settings;
 use crate::shutdown_stage::ShutdownStage;
 use crate::start_error::StartError;
@@ -48,8 +49,8 @@
 /// this is taken for a restart of the whole fleet in 1 of 256 cases, which costs no more than a
 /// second restart of the fleet.
 const AGE_SAMPLE: usize = 8;
-/// Age at which a process settles the buckets that it filled at the first start of the whole system.
-/// All hosts are registered by then, so that each bucket is kept by one of them.
+/// Age at which a process fills the buckets that it has come to own since the first start of the whole
+/// system. All hosts are registered by then.
 const SETTLE_AGE: Duration = Duration::from_secs(2);
 /// Time limit of these calls. Processes that are starting answer within some hundred ms.
 const AGE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -91,6 +92,7 @@
         tokio::task::spawn_local(primary_monitor::run(node.clone()));
         tokio::task::spawn_local(update_readiness(node.clone(), ready.clone()));
         tokio::task::spawn_local(update_connection_limits(node.clone()));
+        tokio::task::spawn_local(rate_handover::run(node.clone()));
         if node.usage.is_some() {
             tokio::task::spawn_local(sender::run(node.clone()));
             tokio::task::spawn_local(reference_clocks::run(node.clone()));
@@ -211,9 +213,11 @@
 /// Gives the organisations their first tokens after a start or restart of the whole system.
 async fn fill_quotas<P: Platform>(node: Rc<Node<P>>) {
     if node.settings.first_start {
+        rate_handover::update_owners(&node);
         node.quota.fill(&node, |rate| rate.burst);
         tokio::time::sleep(SETTLE_AGE.saturating_sub(node.age())).await;
-        node.quota.settle(&node);
+        rate_handover::update_owners(&node);
+        node.quota.fill(&node, |rate| rate.burst);
         return;
     }
     let mut others = node.view.borrow().host_ids();
@@ -240,6 +244,7 @@
     );
     if whole {
         let bounds = node.settings.bounds.rate;
+        rate_handover::update_owners(&node);
         node.quota
             .fill(&node, |rate| restart::initial_tokens(rate, &bounds));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod primary_use;
 pub mod promote_error;
 pub mod quota_tokens;
+pub mod rate_handover;
 pub mod read_floors;
 pub mod report_error;
 pub mod settings;
--- a/crates/gateway/src/mesh/frame.rs
+++ b/crates/gateway/src/mesh/frame.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::model::handover::Handover;
 use crate::model::host_knowledge::HostKnowledge;
 use crate::model::job::Job;
 use crate::model::job::Target;
@@ -27,7 +28,7 @@
 pub type ChannelId = u64;
 
 /// Version of these messages. Connections of hosts with another version are refused.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// Number of `Call::Run` and of `Response::Outcome` among their variants. These messages may be refused
 /// when the memory for clients is short; all others are needed to run the fleet.
@@ -96,6 +97,14 @@
     Usage(Box<UsageMessage>),
     /// Requests the wall clock of the called host.
     WallClock,
+    /// Requests tokens for a host that has asked a former owner of the rate.
+    TokensFor {
+        host: HostId,
+        organisation: OrganisationId,
+        requests: Vec<TokenRequest>,
+    },
+    /// Brings the tokens of rates that the caller has lost to the called host.
+    Handover(Vec<Handover>),
 }
 
 impl Call {
--- a/crates/gateway/src/mesh/server.rs
+++ b/crates/gateway/src/mesh/server.rs
@@ -174,7 +174,22 @@
         Call::Tokens {
             organisation,
             requests,
-        } => Response::Tokens(node.quota.grant(node, from, &organisation, &requests)),
+        } => Response::Tokens(
+            node.quota
+                .answer(node, from, &organisation, &requests)
+                .await,
+        ),
+        Call::TokensFor {
+            host,
+            organisation,
+            requests,
+        } => {
+            if node.quota.has_lost(&organisation) {
+                // The caller is the owner by now.
+                return Response::Done;
+            }
+            Response::Tokens(node.quota.grant(node, &host, &organisation, &requests))
+        }
         Call::ReadFloor { service } => {
             Response::ReadFloor(node.floors.observe(node, &service).await)
         }
@@ -209,6 +224,10 @@
         Call::PrimaryReachable { service } => {
             Response::PrimaryReachable(control::can_reach_primary(node, &service).await)
         }
+        Call::Handover(handovers) => {
+            node.quota.on_handover(node, &handovers);
+            Response::Done
+        }
         Call::Usage(message) => receiver::on_message(node, from, &message),
         Call::WallClock => Response::WallClock {
             wall: clock::wall(),
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -6,6 +6,7 @@
 pub mod duty_record;
 pub mod error_code;
 pub mod former_record;
+pub mod handover;
 pub mod host_entry;
 pub mod host_knowledge;
 pub mod job;
--- a/crates/gateway/src/policy/quota.rs
+++ b/crates/gateway/src/policy/quota.rs
@@ -53,10 +53,11 @@
         bucket.is_some_and(ReservedBucket::is_reserving)
     }
 
-    /// Adds tokens to an organisation's bucket, up to its burst.
+    /// Adds tokens to an organisation's bucket, up to its burst, or takes them out of it, which may leave
+    /// a debt.
     pub fn fill(&mut self, organisation: &str, rate: Rate, tokens: f64, now: Duration) {
         let bucket = self.bucket(organisation, now);
-        let tokens = bucket.tokens() + tokens;
+        let tokens = bucket.advance(now) + tokens;
         bucket.set_tokens(Amount::new(rate.per_second, rate.burst), tokens, now);
     }
 
@@ -65,6 +66,19 @@
         self.buckets.contains_key(organisation)
     }
 
+    /// Drops an organisation's bucket and returns its tokens, if there is one.
+    pub fn remove(&mut self, organisation: &str, now: Duration) -> Option<f64> {
+        let mut bucket = self.buckets.remove(organisation)?;
+        Some(bucket.advance(now))
+    }
+
+    /// Empties all buckets.
+    pub fn empty(&mut self, now: Duration) {
+        for bucket in self.buckets.values_mut() {
+            bucket.clear(now);
+        }
+    }
+
     /// Drops the buckets of the organisations for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.buckets.retain(|organisation, _| keep(organisation));
--- a/crates/gateway/src/policy/reserved_bucket.rs
+++ b/crates/gateway/src/policy/reserved_bucket.rs
@@ -43,10 +43,17 @@
         }
     }
 
-    pub fn tokens(&self) -> f64 {
+    /// Adds the tokens that have accrued and returns all.
+    pub fn advance(&mut self, now: Duration) -> f64 {
+        self.bucket.advance(now);
         self.bucket.tokens()
     }
 
+    /// Discards the tokens, also those that have accrued; the recorded demand stays.
+    pub fn clear(&mut self, now: Duration) {
+        self.bucket = TokenBucket::empty(now);
+    }
+
     /// Replaces the tokens; the recorded demand stays.
     pub fn set_tokens(&mut self, share: Amount, tokens: f64, now: Duration) {
         self.bucket = TokenBucket::with_tokens(share, tokens, now);
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliahatch_core::ids::HostId;
 use magnoliahatch_core::ids::OrganisationId;
 use magnoliahatch_core::rendezvous;
 
@@ -15,14 +16,17 @@
 use crate::mesh::frame::Response;
 use crate::model::configuration::ANONYMOUS;
 use crate::model::configuration::Rate;
+use crate::model::handover::Handover;
 use crate::model::token_request::TokenRequest;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::policy::held_tokens::HeldTokens;
 use crate::policy::host_demand::HostDemand;
-use crate::policy::quota::QuotaTable;
-use crate::policy::requesting_hosts::RequestingHosts;
+use crate::policy::rate_grants::RateGrants;
+use crate::policy::token_call::TokenCall;
 use crate::policy::token_demand::TokenDemand;
+use crate::policy::token_source;
+use crate::policy::token_source::TokenSource;
 use crate::policy::urgent_share::UrgentShare;
 
 /// Unused tokens are dropped after this time, so that they are not used long after the window in
@@ -37,11 +41,8 @@
 const OWNER_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of a call for tokens, far above the longest round trip between regions.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Tokens of a bucket that begins with a change of owner. The former owner may just have spent the burst,
-/// but without any the first operation at the new owner is refused. The allowed excess of 20 operations
-/// in 5 s covers as many changes.
-const FIRST_TOKENS: f64 = 1.0;
+/// Time limit of a call for tokens on behalf of another host, which waits for `CALL_TIMEOUT`.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(150);
 /// Priority of requests of a host that does not rank its operations.
 const UNRANKED: u32 = u32::MAX;
 
@@ -50,9 +51,8 @@
 #[derive(Debug, Default)]
 pub struct QuotaTokens {
     urgent_share: RefCell<UrgentShare>,
-    table: RefCell<QuotaTable>,
+    grants: RefCell<RateGrants>,
     held: RefCell<BTreeMap<OrganisationId, HeldTokens>>,
-    callers: RefCell<BTreeMap<OrganisationId, RequestingHosts>>,
     /// Operations of organisations whose rates are granted in order of arrival.
     demands: RefCell<BTreeMap<OrganisationId, TokenDemand>>,
     /// Operations of organisations whose rates are granted by priority.
@@ -61,68 +61,115 @@
 
 impl QuotaTokens {
     /// Gives tokens to the organisations whose rates this host owns, after a start or restart of the
-    /// whole system. If other hosts did so as well, each of them could grant the same tokens.
+    /// whole system. If other hosts did so as well, each of them could grant the same tokens. Rates that
+    /// have been filled before are left out.
     pub fn fill<P: Platform>(&self, node: &Node<P>, tokens: impl Fn(Rate) -> f64) {
         let Some(configuration) = node.configuration() else {
             return;
         };
+        let mut grants = self.grants.borrow_mut();
+        for (organisation, rate) in &configuration.rates {
+            grants.fill(organisation, *rate, tokens(*rate), clock::now());
+        }
+    }
+
+    /// Records which rates this host owns by its list of hosts. Returns the tokens of those that it has
+    /// just lost, by the host that owns them now.
+    pub fn update_owners<P: Platform>(&self, node: &Node<P>) -> BTreeMap<HostId, Vec<Handover>> {
+        let mut lost: BTreeMap<HostId, Vec<Handover>> = BTreeMap::new();
+        let Some(configuration) = node.configuration() else {
+            return lost;
+        };
+        let now = clock::now();
         let hosts = node.hosts();
-        let own = node.settings.host.as_str();
-        let mut table = self.table.borrow_mut();
+        let mut grants = self.grants.borrow_mut();
+        grants.on_activity(now);
+        grants.retain(|organisation| configuration.rates.contains_key(organisation));
         for (organisation, rate) in &configuration.rates {
-            if rate_owner(organisation, &hosts) == Some(own) {
-                table.fill(organisation, *rate, tokens(*rate), clock::now());
+            let owner = rate_owner(organisation, &hosts);
+            let owns = owner == Some(node.settings.host.as_str());
+            let tokens = grants.set_owner(organisation, *rate, owns, now);
+            if let (Some(tokens), Some(owner)) = (tokens, owner) {
+                let handover = Handover {
+                    organisation: organisation.clone(),
+                    tokens,
+                };
+                lost.entry(owner.to_owned()).or_default().push(handover);
             }
         }
+        lost
     }
 
-    /// Settles the buckets of the first start once all hosts are registered: drops those that this host
-    /// filled although another one owns the rate, and fills those that it owns and did not know of.
-    pub fn settle<P: Platform>(&self, node: &Node<P>) {
+    /// Takes over tokens of a host that has lost rates to this one.
+    pub fn on_handover<P: Platform>(&self, node: &Node<P>, handovers: &[Handover]) {
         let Some(configuration) = node.configuration() else {
             return;
         };
-        let hosts = node.hosts();
-        let own = node.settings.host.as_str();
-        let is_owner = |organisation: &str| rate_owner(organisation, &hosts) == Some(own);
-        let mut table = self.table.borrow_mut();
-        table.retain(is_owner);
-        for (organisation, rate) in &configuration.rates {
-            if is_owner(organisation) && !table.contains(organisation) {
-                table.fill(organisation, *rate, rate.burst, clock::now());
+        let mut grants = self.grants.borrow_mut();
+        for handover in handovers {
+            let organisation = &handover.organisation;
+            if let Some(rate) = configuration.rates.get(organisation) {
+                grants.on_handover(organisation, *rate, handover.tokens, clock::now());
             }
         }
     }
 
-    /// Grants tokens to a host. The shares of hosts that no longer call are kept back, since a host
-    /// that is cut off uses its own share. Returns the tokens of each request.
-    pub fn grant<P: Platform>(
+    /// Must be called regularly, so that a time in which the process was suspended is noticed.
+    pub fn on_activity(&self) {
+        self.grants.borrow_mut().on_activity(clock::now());
+    }
+
+    /// Whether this host owned a rate and lost it.
+    pub fn has_lost(&self, organisation: &str) -> bool {
+        self.grants.borrow().has_lost(organisation)
+    }
+
+    /// Answers a host that takes this one for the owner of a rate. If another host owns it now, the tokens
+    /// come from there. Returns the tokens of each request.
+    pub async fn answer<P: Platform>(
         &self,
-        node: &Node<P>,
+        node: &Rc<Node<P>>,
         from: &str,
         organisation: &str,
         requests: &[TokenRequest],
     ) -> Vec<u32> {
-        let now = clock::now();
-        let all = node.hosts().count;
-        let share = {
-            let mut callers = self.callers.borrow_mut();
-            let callers = callers.entry(organisation.to_owned()).or_default();
-            callers.record(from, now);
-            callers.share(all, now)
+        let hosts = node.hosts();
+        let owner = rate_owner(organisation, &hosts);
+        let source =
+            token_source::for_host(owner, &node.settings.host, self.has_lost(organisation));
+        let owner = match source {
+            TokenSource::Own => return self.grant(node, from, organisation, requests),
+            TokenSource::Share => return self.take_share(node, organisation, requests),
+            TokenSource::Owner(owner) => owner,
+        };
+        let call = Call::TokensFor {
+            host: from.to_owned(),
+            organisation: organisation.to_owned(),
+            requests: requests.to_vec(),
         };
-        self.open_bucket(node, organisation);
-        self.take_local(node, organisation, share, requests)
+        match node.mesh.call(owner, call, FORWARD_TIMEOUT).await {
+            Ok(Response::Tokens(granted)) => granted,
+            // That host has lost the rate too, so the next one is this host.
+            Ok(_) => self.grant(node, from, organisation, requests),
+            Err(error) => {
+                tracing::debug!(event = 640, owner, ?error, "rate owner did not answer");
+                self.take_share(node, organisation, requests)
+            }
+        }
     }
 
-    /// Gives a new owner of a rate its first tokens.
-    fn open_bucket<P: Platform>(&self, node: &Node<P>, organisation: &str) {
-        let configuration = node.configuration();
-        let rate = configuration.and_then(|c| c.rates.get(organisation).copied());
-        let mut table = self.table.borrow_mut();
-        if let Some(rate) = rate.filter(|_| !table.contains(organisation)) {
-            table.fill(organisation, rate, FIRST_TOKENS, clock::now());
-        }
+    /// Grants tokens to a host. Returns the tokens of each request.
+    pub fn grant<P: Platform>(
+        &self,
+        node: &Node<P>,
+        from: &str,
+        organisation: &str,
+        requests: &[TokenRequest],
+    ) -> Vec<u32> {
+        let hosts = node.hosts().count;
+        self.with_call(node, organisation, requests, |grants, call, now| {
+            grants.grant(from, hosts, call, now)
+        })
     }
 
     /// Takes one token for an operation on a route of this priority. Returns whether there was one;
@@ -222,28 +269,35 @@
         // All hosts must choose the same owner, so hosts that cannot be reached count as well.
         let hosts = node.hosts();
         let owner = rate_owner(organisation, &hosts);
-        let granted = match owner {
-            Some(owner) if owner != node.settings.host => {
+        let granted = match token_source::for_clients(owner, &node.settings.host) {
+            TokenSource::Owner(owner) => {
                 let call = Call::Tokens {
                     organisation: organisation.to_owned(),
                     // Those left over serve the next operations without a call.
                     requests: requests.to_vec(),
                 };
                 match node.mesh.call(owner, call, CALL_TIMEOUT).await {
-                    Ok(Response::Tokens(granted)) => granted,
+                    Ok(Response::Tokens(granted)) => {
+                        let mut grants = self.grants.borrow_mut();
+                        grants.on_owner_answered(organisation, clock::now());
+                        granted
+                    }
                     answer => {
                         tracing::debug!(event = 640, owner, ?answer, "rate owner did not answer");
-                        let part = 1.0 / f64::from(hosts.count);
                         let requests = only_one(requests, class);
-                        let granted = self.take_local(node, organisation, part, &requests);
+                        let granted = self.take_share(node, organisation, &requests);
                         return granted.iter().any(|count| *count > 0).then_some(true);
                     }
                 }
             }
-            _ => {
+            TokenSource::Own => {
                 let requests = only_one(requests, class);
                 self.grant(node, &node.settings.host, organisation, &requests)
             }
+            TokenSource::Share => {
+                let requests = only_one(requests, class);
+                self.take_share(node, organisation, &requests)
+            }
         };
         Some(self.hold(organisation, class, requests, &granted))
     }
@@ -277,28 +331,43 @@
         held.is_some_and(|held| held.take(class, TOKEN_LIFETIME, clock::now()))
     }
 
-    fn take_local<P: Platform>(
+    /// Takes tokens of this host's share of a rate whose owner does not answer.
+    fn take_share<P: Platform>(
         &self,
         node: &Node<P>,
         organisation: &str,
-        share: f64,
         requests: &[TokenRequest],
     ) -> Vec<u32> {
-        let Some(configuration) = node.configuration() else {
+        let hosts = node.hosts().count;
+        self.with_call(node, organisation, requests, |grants, call, now| {
+            grants.take_share(hosts, call, now)
+        })
+    }
+
+    /// Grants tokens of a rate, and logs when its mode of granting changes. Grants none of a rate that the
+    /// configuration does not have.
+    fn with_call<P: Platform>(
+        &self,
+        node: &Node<P>,
+        organisation: &str,
+        requests: &[TokenRequest],
+        grant: impl FnOnce(&mut RateGrants, &TokenCall<'_>, Duration) -> Vec<u32>,
+    ) -> Vec<u32> {
+        let configuration = node.configuration();
+        let rate = configuration.and_then(|c| c.rates.get(organisation).copied());
+        let Some(rate) = rate else {
             return Vec::new();
         };
-        let Some(rate) = configuration.rates.get(organisation).copied() else {
-            return Vec::new();
+        let call = TokenCall {
+            organisation,
+            rate,
+            requests,
+            ranked: self.is_ranked(node),
         };
-        let now = clock::now();
-        let mut table = self.table.borrow_mut();
-        if !self.is_ranked(node) {
-            let take = |r: &TokenRequest| table.take(organisation, rate, share, r.wanted, now);
-            return requests.iter().map(take).collect();
-        }
-        let before = table.is_reserving(organisation);
-        let granted = table.grant(organisation, rate, share, requests, now);
-        match (before, table.is_reserving(organisation)) {
+        let mut grants = self.grants.borrow_mut();
+        let before = grants.is_reserving(organisation);
+        let granted = grant(&mut grants, &call, clock::now());
+        match (before, grants.is_reserving(organisation)) {
             (false, true) => {
                 tracing::info!(event = 730, organisation, "rate is granted by priority");
             }
