Bound the log lines that wait by their bytes, and ids in them

Cause: several events show the whole id, and the limit on log volume and the queue of the writer count lines, not bytes.

--- a/crates/gateway/src/front/dispatch.rs
+++ b/crates/gateway/src/front/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::front::remote;
 use crate::front::transaction::OpenChannel;
+use crate::log_text::LogText;
 use crate::logs;
 use crate::member::channel;
 use crate::member::channel_handle;
@@ -162,7 +163,7 @@
             Ok(answer) => {
                 let mut budgets = node.retries.borrow_mut();
                 budgets.on_success(&member, statement.organisation, charged);
-                let (id, attempts) = (request_id(&statement.job.id), attempted.count);
+                let (id, attempts) = (LogText(&statement.job.id), attempted.count);
                 if logs::sampled(&statement.job.id) {
                     tracing::info!(event = 644, %id, member, host, attempts, "member answered");
                 }
@@ -187,7 +188,7 @@
                 if !retry_budgets::is_free(&error, attempted.count) {
                     attempted.charged = Some(error.clone());
                 }
-                let (id, code, cause) = (request_id(&statement.job.id), error.code, error.cause);
+                let (id, code, cause) = (LogText(&statement.job.id), error.code, error.cause);
                 tracing::info!(event = 643, %id, member, host, ?code, ?cause, "tried elsewhere");
                 if error.cause == Cause::Primary {
                     tokio::time::sleep(PRIMARY_RETRY_DELAY).await;
@@ -213,7 +214,7 @@
     if budgets.on_retry(member, organisation, clock::now()) {
         return Ok(true);
     }
-    let (id, code, cause) = (request_id(&statement.job.id), error.code, error.cause);
+    let (id, code, cause) = (LogText(&statement.job.id), error.code, error.cause);
     tracing::info!(event = 732, %id, member, organisation, ?code, ?cause, "not retried: budget exhausted");
     Err(error)
 }
@@ -251,10 +252,6 @@
     }
 }
 
-fn request_id(id: &[u8]) -> std::borrow::Cow<'_, str> {
-    String::from_utf8_lossy(id)
-}
-
 async fn send<P: Platform>(
     node: &Rc<Node<P>>,
     handle: &ChannelHandle,
--- a/crates/gateway/src/front/session.rs
+++ b/crates/gateway/src/front/session.rs
@@ -20,6 +20,7 @@
 use crate::front::transaction::Transaction;
 use crate::held_bytes::HeldBytes;
 use crate::held_bytes::HeldFor;
+use crate::log_text::LogText;
 use crate::member::channel_handle;
 use crate::model::client_refusal::ClientRefusal;
 use crate::model::error_code::ErrorCode;
@@ -163,7 +164,7 @@
     }
 
     fn record_failure(&self, id: &Bytes, error: &Failure, waited: Duration) {
-        let id = String::from_utf8_lossy(id);
+        let id = LogText(id);
         let waited = waited.as_millis() as u64;
         let (code, cause) = (error.code, error.cause);
         self.node
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod held_bytes;
 pub mod host_table;
 pub mod log_limit;
+pub mod log_queue;
+pub mod log_text;
 pub mod logs;
 pub mod member;
 pub mod mesh;
--- a/crates/gateway/src/log_limit.rs
+++ b/crates/gateway/src/log_limit.rs
@@ -32,6 +32,11 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Counts a log line that is dropped.
+pub fn count_dropped_line() {
+    DROPPED.fetch_add(1, Ordering::Relaxed);
+}
+
 /// A filter that limits the rate of each event number.
 #[derive(Debug, Default)]
 pub struct LogLimit {
@@ -62,7 +67,7 @@
         event.record(&mut number);
         let admitted = self.admit(number.0, clock::now());
         if !admitted {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+            count_dropped_line();
         }
         admitted
     }
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -1,6 +1,5 @@
 //! Logging to standard output without blocking the program.
 
-use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::Layer;
@@ -8,24 +7,20 @@
 use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::log_limit::LogLimit;
+use crate::log_queue::LogQueue;
 
-/// Log lines that may wait to be written. Further lines are dropped.
-const QUEUE_LINES: usize = 4096;
 /// The successful steps of one request in this many are logged.
 const SAMPLE_INTERVAL: u32 = 64;
 
 /// Installs the global log subscriber. Dropping the guard flushes and stops the writer.
 pub fn init(filter: &str) -> WorkerGuard {
-    let (writer, guard) = NonBlockingBuilder::default()
-        .lossy(true)
-        .buffered_lines_limit(QUEUE_LINES)
-        .finish(std::io::stdout());
+    let (queue, guard) = LogQueue::spawn(std::io::stdout());
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(filter));
     let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_target(false)
-        .with_writer(writer)
+        .with_writer(move || queue.clone())
         .with_filter(LogLimit::default());
     // On a second call in the same process, as in tests, the first subscriber stays.
     let _ = tracing_subscriber::registry()
--- a/crates/gateway/src/member/channel_log.rs
+++ b/crates/gateway/src/member/channel_log.rs
@@ -4,6 +4,7 @@
 
 use magnoliahatch_core::position::LogPosition;
 
+use crate::log_text::LogText;
 use crate::logs;
 use crate::model::job::Job;
 use crate::model::job::Target;
@@ -34,7 +35,7 @@
     took: Duration,
     queued: Duration,
 ) {
-    let id = String::from_utf8_lossy(&job.id);
+    let id = LogText(&job.id);
     let member = &target.member;
     let after = after.map(|p| p.to_string()).unwrap_or_default();
     if outcome.is_ok() && took >= job.timeout.mul_f64(SLOW_FRACTION) {
