Count what connections to members keep for sessions

Cause: a connection keeps the values that are set on it. They counted in the memory for clients only until the statement was answered.

Change: each connection counts its values and prepared statements for as long as it keeps them, also while it is idle. Without room the statement is refused as not run. When memory is short, an idle transaction is rolled back and an idle connection is closed; none while its statement runs. A frame counts once after it has been decoded.

--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -166,6 +166,11 @@
         self.memory.update(|budget| budget.set_pinned(id, pinned));
     }
 
+    /// Whether the holder must give up its bytes.
+    pub fn is_closed(&self) -> bool {
+        matches!(*self.state.borrow(), HolderState::Closed(_))
+    }
+
     /// Waits until the holder must give up its bytes, and returns why.
     pub fn closed(&self) -> impl Future<Output = ClientRefusal> + use<> {
         let mut state = self.state.clone();
--- a/crates/gateway/src/member/channel.rs
+++ b/crates/gateway/src/member/channel.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::OptionFuture;
 use magnoliahatch_core::position::LogPosition;
 use tokio::sync::mpsc;
 
 use crate::clock;
-use crate::front::client_connection::ALLOWANCE;
 use crate::member::channel_handle::ChannelHandle;
 use crate::member::channel_handle::QueuedJob;
 use crate::member::channel_log;
@@ -19,6 +19,7 @@
 use crate::member::pooled_connection::PooledConnection;
 use crate::member::send_check;
 use crate::member::slot_request;
+use crate::model::client_refusal::ClientRefusal;
 use crate::model::command::Command;
 use crate::model::error_code::ErrorCode;
 use crate::model::job::Consistency;
@@ -135,7 +136,7 @@
             .connection(slot_request::request(&node, &target, job, until, false))
             .await?;
         let largest = node.settings.clients.max_answer_bytes;
-        connection.count_answers(node.memory.open(ALLOWANCE), largest);
+        connection.count_in(&node.memory, largest);
         let mut channel = Self {
             node,
             pool,
@@ -192,6 +193,11 @@
     /// Waits for the next job. Returns `None` if the caller is gone or the transaction must end.
     async fn next_job(&mut self, jobs: &mut mpsc::Receiver<QueuedJob>) -> Option<QueuedJob> {
         let idle = self.node.idle_limit();
+        let short = self.connection.as_ref().map(|connection| {
+            connection.set_running(false);
+            connection.closed()
+        });
+        let short = OptionFuture::from(short);
         let primary = matches!(self.target.consistency, Consistency::Primary);
         let lost = self
             .node
@@ -206,6 +212,11 @@
                 channel_log::ended(&self.target, Cause::Primary);
                 None
             }
+            Some(()) = short => {
+                self.node.metrics.count_client_refusal(ClientRefusal::Memory);
+                channel_log::ended(&self.target, Cause::Queue);
+                None
+            }
         }
     }
 
@@ -364,8 +375,13 @@
             return Err(failure(ErrorCode::Aborted, Cause::Connection));
         };
         let sent = clock::now();
+        connection.set_running(true);
         let result = connection.prepare(&job.values, template).await;
         result.map_err(|error| {
+            if matches!(error, ConnectionError::NoMemory) {
+                let refusal = ClientRefusal::State;
+                self.node.metrics.count_client_refusal(refusal);
+            }
             self.on_error(&error, sent);
             error.failure(false)
         })
--- a/crates/gateway/src/member/connection.rs
+++ b/crates/gateway/src/member/connection.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,8 @@
 use tokio_util::codec::Encoder;
 use tokio_util::codec::Framed;
 
+use crate::client_memory::ClientMemory;
+use crate::front::client_connection::ALLOWANCE;
 use crate::held_bytes::HeldBytes;
 use crate::held_bytes::HeldFor;
 use crate::member::connection_error::ConnectionError;
@@ -86,6 +89,9 @@
     /// What the answer to a client holds of the memory for clients, and its largest size. `None` for
     /// commands of the proxy itself.
     answer: Option<(HeldBytes, u64)>,
+    /// What values and prepared statements hold of the memory for clients, also while the connection is
+    /// idle. `None` until a statement of a client uses the connection.
+    kept: Option<HeldBytes>,
 }
 
 impl<P: Platform> Connection<P> {
@@ -133,23 +139,49 @@
             generation: 0,
             last_used: Duration::ZERO,
             answer: None,
+            kept: None,
         })
     }
 
-    /// Counts the next answers in `held`, each up to `limit` bytes.
-    pub fn count_answers(&mut self, held: HeldBytes, limit: u64) {
-        self.answer = Some((held, limit));
+    /// Counts what the next statements keep on the connection, and their answers, each up to `limit`
+    /// bytes.
+    pub fn count_in(&mut self, memory: &Rc<ClientMemory>, limit: u64) {
+        self.answer = Some((memory.open(ALLOWANCE), limit));
+        self.kept.get_or_insert_with(|| memory.open(ALLOWANCE));
+    }
+
+    /// Whether the connection must be closed, since the memory for clients is short and it keeps much.
+    pub fn must_close(&self) -> bool {
+        self.kept.as_ref().is_some_and(HeldBytes::is_closed)
+    }
+
+    /// Waits until the connection must be closed.
+    pub fn closed(&self) -> impl Future<Output = ()> + use<P> {
+        let closed = self.kept.as_ref().map(HeldBytes::closed);
+        async move {
+            match closed {
+                Some(closed) => drop(closed.await),
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    /// Sets whether a statement runs, so that the connection cannot be told to close.
+    pub fn set_running(&self, running: bool) {
+        if let Some(kept) = &self.kept {
+            kept.set_pinned(running);
+        }
     }
 
     /// Gives back the memory that an idle connection does not need. Returns whether it may be used
     /// again.
     pub fn prepare_idle(&mut self) -> bool {
         self.answer = None;
+        self.set_running(false);
         if self.stream.read_buffer().is_empty() {
             *self.stream.read_buffer_mut() = BytesMut::with_capacity(read_buffer::SMALL);
         }
-        let values = self.values.iter().map(|(n, v)| n.len() + v.len());
-        values.sum::<usize>() <= MAX_IDLE_VALUES
+        value_bytes(&self.values) <= MAX_IDLE_VALUES && !self.must_close()
     }
 
     /// Whether the member has closed the connection, or sent something that was not asked for, which the
@@ -181,6 +213,14 @@
             && !self.prepared.is_empty()
             && self.prepared_bytes + size > MAX_PREPARED_BYTES;
         let reset = self.values.iter().any(is_unset) || is_full;
+        let kept = if reset { 0 } else { self.prepared_bytes };
+        let added = if known.is_some() && !reset { 0 } else { size };
+        let bytes = value_bytes(values) + kept + added;
+        if let Some(held) = &mut self.kept
+            && !held.try_set(HeldFor::State, bytes as u64)
+        {
+            return Err(ConnectionError::NoMemory);
+        }
         let mut commands = Vec::new();
         if reset {
             commands.push(Command::Reset);
@@ -358,3 +398,10 @@
         counted.map_err(|_| ConnectionError::Memory)
     }
 }
+
+fn value_bytes(values: &Values) -> usize {
+    values
+        .iter()
+        .map(|(name, value)| name.len() + value.len())
+        .sum()
+}
--- a/crates/gateway/src/member/connection_error.rs
+++ b/crates/gateway/src/member/connection_error.rs
@@ -16,6 +16,9 @@
     /// The connection can still be used.
     #[error("the command was not sent: {0}")]
     NotSent(WireError),
+    /// The memory for clients is short. The connection can still be used.
+    #[error("there is no memory for the values and prepared statements of the session")]
+    NoMemory,
     /// Nothing of the command was sent.
     #[error("the member had closed the connection, or sent something that was not asked for")]
     Stale,
@@ -35,12 +38,15 @@
 impl ConnectionError {
     /// Whether nothing of the command was sent.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::NotSent(_) | Self::NoMemory)
     }
 
     /// Whether the member may have run the command.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::Stale | Self::Refused(_))
+        !matches!(
+            self,
+            Self::NotSent(_) | Self::NoMemory | Self::Stale | Self::Refused(_)
+        )
     }
 
     /// Whether the member did not answer, so that its other connections may be broken as well.
@@ -57,6 +63,7 @@
         match self {
             Self::NotSent(WireError::TooLarge(_)) => failure(ErrorCode::TooLarge, Cause::Message),
             Self::NotSent(_) => failure(ErrorCode::Malformed, Cause::Message),
+            Self::NoMemory => failure(ErrorCode::Busy, Cause::Queue),
             Self::Stale => failure(ErrorCode::Aborted, Cause::Connection),
             _ if durable && self.is_silence() => failure(ErrorCode::Unknown, Cause::Connection),
             _ if durable => failure(ErrorCode::Unknown, Cause::Reply),
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -321,11 +321,12 @@
         self.wake_next();
     }
 
-    fn close_expired(&self) {
+    /// Closes idle connections that were not used for some time, and those that must give up their memory.
+    pub fn close_expired(&self) {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
-        idle.retain(|c| now.saturating_sub(c.last_used) < IDLE_TIMEOUT);
+        idle.retain(|c| now.saturating_sub(c.last_used) < IDLE_TIMEOUT && !c.must_close());
         let closed = (before - idle.len()) as u32;
         self.total.set(self.total.get().saturating_sub(closed));
     }
--- a/crates/gateway/src/mesh/link.rs
+++ b/crates/gateway/src/mesh/link.rs
@@ -17,6 +17,7 @@
 
 use crate::client_memory::ClientMemory;
 use crate::held_bytes::HeldBytes;
+use crate::held_bytes::HeldFor;
 use crate::mesh::frame::CallId;
 use crate::mesh::frame_codec::FrameCodec;
 use crate::mesh::frame_codec::Incoming;
@@ -61,12 +62,16 @@
 impl LinkReader {
     /// Receives the next message, or `None` at the end of the connection.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<Received<T>>, WireError> {
-        let (frame, held) = match self.frames.next().await.transpose()? {
+        let (frame, mut held) = match self.frames.next().await.transpose()? {
             None => return Ok(None),
             Some(Incoming::Refused(id)) => return Ok(Some(Received::Refused(id))),
             Some(Incoming::Frame(frame, held)) => (frame, held),
         };
         let body = postcard::from_bytes(&frame);
+        if let Some(held) = &mut held {
+            // The frame itself is dropped here; what was decoded stays.
+            held.set(HeldFor::Message, frame.len() as u64);
+        }
         body.map(|body| Some(Received::Message(body, held)))
             .map_err(|_| WireError::Malformed("a frame does not match the expected message"))
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -345,6 +345,9 @@
             // The pool of a member that may not be used keeps its limits until the member's
             // registration is removed.
             let _ = self.pool(&member);
+            if let Some(pool) = self.pools.find(&member) {
+                pool.close_expired();
+            }
         }
     }
 
