Send the last counts of a stop before the registration is removed

They were sent side by side since; a host without a registration may not be heard. Each step has a time limit of its own now, and both fit into what is left of a grace period of 6 s.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,6 +56,11 @@
 const AGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a stopping host checks for remaining sessions.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time limit for sending the last counts of operations. With `UNREGISTER_LIMIT` it fits into a twelfth of
+/// a grace period of 6 s, which is left after the last statements.
+const LAST_COUNTS_LIMIT: Duration = Duration::from_millis(200);
+/// Time limit for removing the registration.
+const UNREGISTER_LIMIT: Duration = Duration::from_millis(300);
 /// Time that the load balancer needs to notice that this host is not ready.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2200);
 
@@ -152,7 +157,17 @@
         wait_until(|| clock::now() >= schedule.transactions || node.sessions.get() == 0).await;
         node.stage.send_replace(ShutdownStage::RollingBack);
         wait_until(|| schedule.may_end(clock::now(), node.open_work())).await;
-        futures::join!(sender::send_pending(node), self.unregister());
+        // The counts go first, since a host without a registration may not be heard.
+        if tokio::time::timeout(LAST_COUNTS_LIMIT, sender::send_pending(node))
+            .await
+            .is_err()
+        {
+            tracing::warn!(
+                event = 734,
+                "the last counts of operations were not taken in time"
+            );
+        }
+        self.unregister().await;
         let left = (self.node.sessions.get(), self.node.channels.get());
         let lines = log_limit::dropped_lines();
         tracing::info!(
@@ -172,9 +187,8 @@
             hosts.and_then(|k| k.objects.get(host)).map(|o| o.revision)
         };
         let Some(revision) = revision else { return };
-        let limit = Duration::from_millis(300);
         let removal = self.node.store.remove(ObjectKind::Hosts, host, revision);
-        match tokio::time::timeout(limit, removal).await {
+        match tokio::time::timeout(UNREGISTER_LIMIT, removal).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 tracing::warn!(event = 608, %error, "failed to remove the host's registration")
