Ignore a handover whose number no host means

A handover is a number of another host: one that is no number was taken for the whole burst, and a debt was forgiven.

--- a/crates/gateway/src/policy/rate_grants.rs
+++ b/crates/gateway/src/policy/rate_grants.rs
@@ -84,10 +84,13 @@
         self.lost.contains(organisation)
     }
 
-    /// Takes over the tokens of a former owner, which stopped its refill when it sent them.
+    /// Takes over the tokens or the debt of a former owner, which stopped its refill when it sent them.
     pub fn on_handover(&mut self, organisation: &str, rate: Rate, tokens: f64, now: Duration) {
         self.on_activity(now);
-        let tokens = tokens.clamp(0.0, rate.burst);
+        if !tokens.is_finite() {
+            return;
+        }
+        let tokens = tokens.min(rate.burst).max(-rate.burst);
         match self.owned.get(organisation) {
             Some(since) if now.saturating_sub(*since) <= HANDOVER_LIMIT => {
                 let refill = now.saturating_sub(*since).as_secs_f64() * rate.per_second;
--- a/crates/gateway/tests/rate_owners.rs
+++ b/crates/gateway/tests/rate_owners.rs
@@ -455,3 +455,38 @@
         TokenSource::Own
     );
 }
+
+/// Guards against a handover that no host sends in earnest: its number must not open the rate.
+#[test]
+fn odd_handover_opens_no_rate() {
+    let requests = [TokenRequest {
+        priority: 0,
+        arrived: 0,
+        wanted: 10_000,
+    }];
+    let call = TokenCall {
+        organisation: ORGANISATION,
+        rate: RATE,
+        requests: &requests,
+        ranked: false,
+    };
+    for tokens in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, 1e300, -1e300] {
+        for early in [false, true] {
+            let mut grants = RateGrants::default();
+            let now = Duration::from_secs(9);
+            if early {
+                grants.on_handover(ORGANISATION, RATE, tokens, now);
+            }
+            grants.set_owner(ORGANISATION, RATE, true, now);
+            grants.on_handover(ORGANISATION, RATE, tokens, now);
+            let granted = grants.grant("host-1", 4, &call, now)[0];
+            assert!(f64::from(granted) <= RATE.burst, "{tokens}: {granted}");
+            // A debt is at most one burst for each handover.
+            for seconds in 1..3 {
+                grants.on_activity(now + Duration::from_secs(seconds));
+            }
+            let later = now + Duration::from_secs(3);
+            assert!(grants.grant("host-1", 4, &call, later)[0] > 0, "{tokens}");
+        }
+    }
+}
