Let a leaving host own rates while all hosts are leaving

Callers of a host that is stopped alone were refused as beyond their rate: since no host owned a rate while all were leaving, and a host's own share starts empty.

Change: the owner is one of the leaving hosts then; all hosts know the same list. Without any owner a host still takes its share.

--- a/crates/gateway/src/policy/token_source.rs
+++ b/crates/gateway/src/policy/token_source.rs
@@ -11,8 +11,8 @@
     Share,
 }
 
-/// Source of the tokens for the operations of this host's clients. Without an owner, as while all hosts
-/// are leaving, each host has its share; if each granted the whole rate, it would be granted many
+/// Source of the tokens for the operations of this host's clients. Without an owner, as while this host
+/// knows of none, each host has its share; if each granted the whole rate, it would be granted many
 /// times.
 pub fn for_clients<'a>(owner: Option<&'a str>, own: &str) -> TokenSource<'a> {
     match owner {
--- a/crates/gateway/src/quota_tokens.rs
+++ b/crates/gateway/src/quota_tokens.rs
@@ -403,8 +403,5 @@
 
 /// The host that shares out an organisation's rate.
 fn rate_owner<'a>(organisation: &str, hosts: &'a HostTable) -> Option<&'a str> {
-    rendezvous::owner(
-        organisation,
-        hosts.registered_duty.iter().map(String::as_str),
-    )
+    rendezvous::owner(organisation, hosts.rate_owners.iter().map(String::as_str))
 }
--- a/crates/gateway/tests/rate_owners.rs
+++ b/crates/gateway/tests/rate_owners.rs
@@ -432,7 +432,7 @@
     }
 }
 
-/// Guards against a rate that each host grants whole, since all of them are leaving and none owns it.
+/// Guards against a rate that each host grants whole, since none is known to own it.
 #[test]
 fn rate_without_an_owner_is_divided() {
     for has_lost in [false, true] {
